--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -1,7 +1,6 @@
 //! Hosts one [`Admission`] for each backend and speaks the simulator's wire on standard input
 //! and output. The instances share nothing.
 
-mod params;
 mod wire;
 
 use std::collections::BTreeMap;
@@ -43,7 +42,7 @@
                 Record::Reminder(timer, values) => {
                     let backend = named(at)?;
                     let names = self.backends.get(&backend).map_or(&[][..], |b| &b.gauges);
-                    let gauges = wire::gauges(names, &values);
+                    let gauges = swiftwinch_settings::gauges(names, &values);
                     self.tell(backend, Event::Timer(timer, gauges))?;
                 }
             }
@@ -80,8 +79,8 @@
 }
 
 fn start(seed: u64, text: &str, now: Duration) -> Result<Backend, Malformed> {
-    let (settings, gauges) = params::parse(text)?;
-    let admission = Admission::new(settings, seed, now);
+    let parsed = swiftwinch_settings::parse(text).map_err(|e| Malformed(e.to_string()))?;
+    let (admission, gauges) = (Admission::new(parsed.settings, seed, now), parsed.gauges);
     Ok(Backend { admission, gauges, events: Vec::new(), touched: true })
 }
 
--- a/adapter/src/wire.rs
+++ b/adapter/src/wire.rs
@@ -4,7 +4,7 @@
 use std::io::{self, Read};
 use std::time::Duration;
 
-use swiftwinch::{Action, Arrival, CallerId, ClassId, Event, Gauges, Outcome, RequestId, TenantId, TimerId};
+use swiftwinch::{Action, Arrival, CallerId, ClassId, Event, Outcome, RequestId, TenantId, TimerId};
 
 /// Longest batch accepted; the simulator's are megabytes at most.
 const MAX_FRAME: usize = 1 << 28;
@@ -35,7 +35,7 @@
     /// Something for the decision module.
     Event(Event),
     /// A timer; its gauges are in the order of the backend's settings.
-    Reminder(TimerId, Vec<f32>),
+    Reminder(TimerId, Vec<f64>),
 }
 
 /// A batch.
@@ -198,7 +198,7 @@
             7 => {
                 let handle = TimerId(self.u32()?);
                 let n = self.u8()?;
-                let gauges = (0..n).map(|_| self.f32()).collect::<Result<_, _>>()?;
+                let gauges = (0..n).map(|_| self.f32().map(f64::from)).collect::<Result<_, _>>()?;
                 Record::Reminder(handle, gauges)
             }
             8 => Record::Crash,
@@ -223,19 +223,6 @@
     Ok(Batch { now, records })
 }
 
-/// Puts gauges in the field's terms, by the names the backend's settings give them.
-pub fn gauges(names: &[String], values: &[f32]) -> Gauges {
-    let mut gauges = Gauges::default();
-    for (name, &value) in names.iter().zip(values) {
-        match name.as_str() {
-            "cpu_busy" => gauges.busy = Some(value.into()),
-            "runnable" => gauges.runnable = Some(value.into()),
-            _ => {}
-        }
-    }
-    gauges
-}
-
 /// A reply under construction.
 #[derive(Debug, Default)]
 pub struct Reply {
@@ -399,11 +386,4 @@
                             49 0000803e 48 192b6f0e 90d00300 01");
         assert_eq!(reply.frame(), expected);
     }
-
-    #[test]
-    fn gauges_go_by_name() {
-        let names = ["mem_used", "runnable", "cpu_busy"].map(String::from);
-        let read = gauges(&names, &[0.5, 7.0, 0.25]);
-        assert_eq!((read.runnable, read.busy), (Some(7.0), Some(0.25)));
-    }
 }
--- /dev/null
+++ b/node/src/config.rs
@@ -0,0 +1,294 @@
+//! What a node is told: the platform's JSON, and the file that switches the uwsgi front on.
+
+use std::fmt;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use swiftwinch_settings::Parsed;
+
+/// What is wrong with a configuration, in one line that names the key.
+#[derive(Debug, PartialEq, Eq)]
+pub struct BadConfig(pub String);
+
+impl fmt::Display for BadConfig {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // Parsers put excerpts on lines of their own; the log gets one line.
+        f.write_str(self.0.lines().next().unwrap_or_default())
+    }
+}
+
+fn bad<T>(what: impl Into<String>) -> Result<T, BadConfig> {
+    Err(BadConfig(what.into()))
+}
+
+/// The platform's configuration.
+#[derive(Debug)]
+pub struct Config {
+    /// The node's name.
+    pub name: String,
+    /// Where front ends connect.
+    pub listen: SocketAddr,
+    /// The interpreter, unless uwsgi servers run everything.
+    pub vm: Option<SocketAddr>,
+    /// The membership service, if there is one.
+    pub members: Option<SocketAddr>,
+    /// The index; the last tier has none.
+    pub index: Option<SocketAddr>,
+    /// Seed of the random numbers.
+    pub seed: u64,
+    /// How long after the notice to leave the process is stopped.
+    pub stop: Duration,
+    /// Descriptors that the process may hold.
+    pub sockets: usize,
+    /// The settings of the decisions, and their names.
+    pub settings: Parsed,
+}
+
+#[derive(Deserialize)]
+struct Raw<'a> {
+    name: String,
+    listen: String,
+    vm: Option<String>,
+    members: Option<String>,
+    index: Option<String>,
+    seed: String,
+    stop_ms: u64,
+    #[serde(default)]
+    limits: Limits,
+    #[serde(borrow)]
+    settings: &'a RawValue,
+}
+
+#[derive(Deserialize)]
+#[serde(default)]
+struct Limits {
+    sockets: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits { sockets: 1024 }
+    }
+}
+
+impl Config {
+    /// Reads the platform's JSON.
+    pub fn parse(text: &str) -> Result<Self, BadConfig> {
+        let raw: Raw = serde_json::from_str(text).map_err(|e| BadConfig(e.to_string()))?;
+        let settings = match swiftwinch_settings::parse(raw.settings.get()) {
+            Ok(settings) => settings,
+            Err(e) => return bad(e.to_string()),
+        };
+        if settings.classes.is_empty() {
+            return bad("settings.services: names no class");
+        }
+        let Ok(seed) = u64::from_str_radix(&raw.seed, 16) else {
+            return bad(format!("seed: {:?} is not hexadecimal", raw.seed));
+        };
+        if raw.limits.sockets < 32 {
+            return bad(format!("limits.sockets: {} is too few, 32 at least", raw.limits.sockets));
+        }
+        Ok(Config {
+            listen: address("listen", &raw.listen)?,
+            vm: raw.vm.as_deref().map(|a| address("vm", a)).transpose()?,
+            members: raw.members.as_deref().map(|a| address("members", a)).transpose()?,
+            index: raw.index.as_deref().map(|a| address("index", a)).transpose()?,
+            name: raw.name,
+            seed,
+            stop: Duration::from_millis(raw.stop_ms),
+            sockets: raw.limits.sockets,
+            settings,
+        })
+    }
+
+    /// Reads the file.
+    pub fn read(path: &Path) -> Result<Self, BadConfig> {
+        Config::parse(&text_of(path)?)
+    }
+}
+
+fn text_of(path: &Path) -> Result<String, BadConfig> {
+    std::fs::read_to_string(path).map_err(|e| BadConfig(format!("{}: {e}", path.display())))
+}
+
+fn address(key: &str, text: &str) -> Result<SocketAddr, BadConfig> {
+    text.parse().or_else(|_| bad(format!("{key}: {text:?} is not an address with a port")))
+}
+
+/// The uwsgi front, its servers and its virtual router.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Uwsgi {
+    /// Where uwsgi clients connect.
+    pub listen: SocketAddr,
+    /// uwsgi servers that run requests, in place of the interpreter.
+    pub runs: Vec<SocketAddr>,
+    /// uwsgi servers that take the calls to the tier below, in place of the index.
+    pub calls: Vec<SocketAddr>,
+    /// Unless it is there, the listener is always open.
+    pub vrrp: Option<Vrrp>,
+}
+
+/// The virtual router that guards the uwsgi listener.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Vrrp {
+    /// Its number, 1 to 255.
+    pub vrid: u8,
+    /// 1 to 254, or 255 for the owner of the address.
+    pub priority: u8,
+    /// Between two advertisements.
+    pub interval: Duration,
+    /// Whether a higher priority takes over from a lower one that is active.
+    pub preempt: bool,
+    /// The addresses that the virtual router stands for.
+    pub addresses: Vec<Ipv4Addr>,
+    /// Where advertisements come in.
+    pub listen: SocketAddr,
+    /// Where they go.
+    pub peers: Vec<SocketAddr>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawUwsgi {
+    listen: String,
+    #[serde(default)]
+    runs: Vec<String>,
+    #[serde(default)]
+    calls: Vec<String>,
+    vrrp: Option<RawVrrp>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawVrrp {
+    vrid: u8,
+    #[serde(default = "usual_priority")]
+    priority: u8,
+    #[serde(default = "usual_interval")]
+    interval_ms: u64,
+    #[serde(default = "yes")]
+    preempt: bool,
+    addresses: Vec<Ipv4Addr>,
+    listen: String,
+    peers: Vec<String>,
+}
+
+fn usual_priority() -> u8 {
+    100
+}
+
+fn usual_interval() -> u64 {
+    1000
+}
+
+fn yes() -> bool {
+    true
+}
+
+impl Uwsgi {
+    /// Reads the text of a uwsgi file.
+    pub fn parse(text: &str) -> Result<Self, BadConfig> {
+        let raw: RawUwsgi = toml::from_str(text).map_err(|e| {
+            let at = e.span().map_or(0, |span| text[..span.start.min(text.len())].lines().count().max(1));
+            BadConfig(format!("uwsgi file, line {at}: {}", e.message()))
+        })?;
+        Ok(Uwsgi {
+            listen: address("listen", &raw.listen)?,
+            runs: addresses("runs", &raw.runs)?,
+            calls: addresses("calls", &raw.calls)?,
+            vrrp: raw.vrrp.map(Vrrp::from_raw).transpose()?,
+        })
+    }
+
+    /// Reads the file.
+    pub fn read(path: &Path) -> Result<Self, BadConfig> {
+        Uwsgi::parse(&text_of(path)?)
+    }
+}
+
+impl Vrrp {
+    fn from_raw(raw: RawVrrp) -> Result<Self, BadConfig> {
+        if raw.vrid == 0 {
+            return bad("vrrp.vrid: 0 is not a virtual router, 1 to 255 are");
+        }
+        if raw.priority == 0 {
+            return bad("vrrp.priority: 0 is kept for giving up the role, 1 to 255 are free");
+        }
+        if !(10..=40_950).contains(&raw.interval_ms) || raw.interval_ms % 10 != 0 {
+            return bad("vrrp.interval_ms: whole hundredths of a second are needed, from 10 to 40950");
+        }
+        if raw.addresses.is_empty() || raw.addresses.len() > 255 {
+            return bad("vrrp.addresses: 1 to 255 are needed");
+        }
+        Ok(Vrrp {
+            vrid: raw.vrid,
+            priority: raw.priority,
+            interval: Duration::from_millis(raw.interval_ms),
+            preempt: raw.preempt,
+            addresses: raw.addresses,
+            listen: address("vrrp.listen", &raw.listen)?,
+            peers: addresses("vrrp.peers", &raw.peers)?,
+        })
+    }
+}
+
+fn addresses(key: &str, texts: &[String]) -> Result<Vec<SocketAddr>, BadConfig> {
+    texts.iter().map(|text| address(key, text)).collect()
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const SMALL: &str = r#"{"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f", "stop_ms": 3000,
+        "settings": {"services": [{"name": "quote", "slo": 1, "deadline": 2, "effect": "repeatable"}],
+        "specifics": {"cores": 2, "memoryKb": 64.5}, "safety": {"drainGrace": 8, "fallMultiple": 3}}}"#;
+
+    fn problem(from: &str, to: &str) -> String {
+        assert!(SMALL.contains(from));
+        Config::parse(&SMALL.replace(from, to)).unwrap_err().to_string()
+    }
+
+    #[test]
+    fn a_small_configuration_is_enough() {
+        let config = Config::parse(SMALL).unwrap();
+        assert_eq!((config.seed, config.sockets, config.vm), (0x8c1f, 1024, None));
+        assert_eq!(config.settings.classes, ["quote"]);
+    }
+
+    #[test]
+    fn one_line_names_the_key() {
+        let cases = [
+            (r#""name": "n1", "#, "", "`name`"),
+            ("127.0.0.1:0", "nowhere", "listen"),
+            ("8c1f", "xyz", "seed"),
+            (r#""cores": 2, "#, "", "cores"),
+            ("repeatable", "sometimes", "effect"),
+            (r#""stop_ms""#, r#""limits": {"sockets": 3}, "stop_ms""#, "limits.sockets"),
+        ];
+        for (from, to, key) in cases {
+            let line = problem(from, to);
+            assert!(line.contains(key) && !line.contains('\n'), "{line:?} names {key}");
+        }
+    }
+
+    #[test]
+    fn a_uwsgi_file_says_what_is_wrong_with_it() {
+        let good = "listen = '127.0.0.1:0'\n[vrrp]\nvrid = 7\naddresses = ['127.0.1.1']\n\
+                    listen = '127.0.0.1:0'\npeers = []\n";
+        assert_eq!(Uwsgi::parse(good).unwrap().vrrp.unwrap().priority, 100);
+        for (from, to, key) in [
+            ("vrid = 7", "vrid = 0", "vrrp.vrid"),
+            ("vrid = 7", "", "vrid"),
+            ("vrid = 7", "vrid = 7\ninterval_ms = 5", "vrrp.interval_ms"),
+            ("peers = []", "peers = ['x']", "vrrp.peers"),
+            ("[vrrp]", "surprise = 1\n[vrrp]", "surprise"),
+        ] {
+            let line = Uwsgi::parse(&good.replace(from, to)).unwrap_err().to_string();
+            assert!(line.contains(key), "{line:?} names {key}");
+        }
+    }
+}
--- /dev/null
+++ b/node/src/exchange.rs
@@ -0,0 +1,273 @@
+//! The only place where the client side and the server side meet. Fronts submit requests and receive exactly
+//! one outcome for each; backends receive what is to be run, stopped and called, and report. No wire is known
+//! here, and every queue is bounded.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::{mpsc, watch};
+
+use crate::clock::Unix;
+
+/// Inputs that may wait for the core; who has more to say waits with it.
+const INBOX: usize = 1024;
+/// Commands that may wait for a backend. Runs are bounded by the survivable crowd, far below this.
+const COMMANDS: usize = 4096;
+
+/// One try of a request, as a front read it.
+#[derive(Debug, Clone)]
+pub struct Request {
+    /// Its id on all links, new with every try.
+    pub txn: Bytes,
+    /// Position of its class in the settings.
+    pub class: u16,
+    /// Position of its tenant in the settings.
+    pub tenant: u16,
+    /// In keyed classes: the same for all tries of one request.
+    pub key: Option<Bytes>,
+    /// Who sent it, by number.
+    pub caller: u32,
+    /// The work to expect.
+    pub hint: Option<Duration>,
+    /// Memory booked for it while it is held, in KB.
+    pub kb: f64,
+    /// Its rank, from 0 to under 1.
+    pub rank: f64,
+    /// When it came to the machine.
+    pub door: Unix,
+    /// When its caller stops waiting.
+    pub due: Unix,
+    /// Its body, as it came.
+    pub body: Bytes,
+}
+
+/// The one final answer to a request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Outcome {
+    /// Served, with the result that a run made.
+    Served(Bytes),
+    /// Turned away: this try never ran.
+    Refused {
+        /// How long the caller should stay away.
+        retry_after: Option<Duration>,
+        /// The wish that it be tried nowhere else.
+        stay: bool,
+    },
+    /// Failed; nothing is promised.
+    Failed {
+        /// Because its time ran out.
+        overdue: bool,
+    },
+}
+
+/// The right to give one request its outcome. Answering uses it up, so no request is answered twice, and the
+/// room for the answer is set aside beforehand, so answering never waits.
+#[derive(Debug)]
+pub struct Ticket<T> {
+    tag: T,
+    room: mpsc::OwnedPermit<(T, Outcome)>,
+}
+
+impl<T> Ticket<T> {
+    /// A ticket on the answers' queue, or none while as many are out as the queue holds.
+    pub fn new(answers: &mpsc::Sender<(T, Outcome)>, tag: T) -> Option<Self> {
+        answers.clone().try_reserve_owned().ok().map(|room| Ticket { tag, room })
+    }
+
+    /// Gives the outcome.
+    pub fn answer(self, outcome: Outcome) {
+        self.room.send((self.tag, outcome));
+    }
+}
+
+/// What the core is told.
+#[derive(Debug)]
+pub enum Input {
+    /// A front read a request.
+    Submitted(Box<Request>, Ticket<u64>),
+    /// The caller of the request with this id has gone; its ticket is void.
+    Gone(Bytes),
+    /// A backend reports.
+    Report(Report),
+    /// The notice to leave: the process is stopped at the given time.
+    Drain(Unix),
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, PartialEq)]
+pub enum End {
+    /// With a result.
+    Done(Bytes),
+    /// It failed.
+    Crashed,
+    /// It was stopped, or ended at a call because its request was over.
+    Aborted,
+    /// Nothing was started, because the request was over.
+    Stale,
+    /// It provably never began: no server took it.
+    NeverRan,
+}
+
+/// How a call ended.
+#[derive(Debug, Clone, PartialEq)]
+pub enum CallEnd {
+    /// With a reply.
+    Ok(Bytes),
+    /// It failed and may have had its effect.
+    Failed,
+    /// Turned away: it never ran.
+    Refused,
+    /// It ran out of time and may have had its effect.
+    TimedOut,
+    /// Nobody was reached: it never ran.
+    Unreachable,
+    /// It was cut off and may have had its effect.
+    CutOff,
+}
+
+/// What backends report.
+#[derive(Debug)]
+pub enum Report {
+    /// What runs requests is up; `cold` if it has only just started.
+    Up {
+        /// It was fresh at its start.
+        cold: bool,
+    },
+    /// A run ended.
+    Ended(Bytes, End),
+    /// A run waits for a call with this body.
+    CallNeeded(Bytes, Bytes),
+    /// A call ended.
+    CallEnded(Bytes, CallEnd),
+    /// The gauges, in the order of the settings.
+    Gauges(Vec<f64>),
+}
+
+/// What the side that runs requests is told.
+#[derive(Debug)]
+pub enum RunCommand {
+    /// Run a request of this class with this body; its caller waits until `due`.
+    Run {
+        /// The request.
+        txn: Bytes,
+        /// The class, by position in the settings.
+        class: u16,
+        /// The body, as it came.
+        body: Bytes,
+        /// When the answer is due.
+        due: Unix,
+    },
+    /// Stop a run.
+    Stop(Bytes),
+    /// Go on with a paused run.
+    Continue(Bytes),
+    /// The reply to the call that a run waits for.
+    Resolve(Bytes, Bytes),
+    /// Go on without the call that a run waits for.
+    Skip(Bytes),
+    /// Ask for the gauges.
+    Gauges,
+}
+
+/// What the side that makes calls is told.
+#[derive(Debug)]
+pub enum CallCommand {
+    /// Make a call for a request and give it up at `until`.
+    Call {
+        /// The request.
+        txn: Bytes,
+        /// The class, by position in the settings.
+        class: u16,
+        /// The body that the run gave.
+        body: Bytes,
+        /// When the call is given up.
+        until: Unix,
+    },
+    /// Give up the call for a request.
+    GiveUp(Bytes),
+}
+
+/// What the core tells everyone.
+#[derive(Debug, Clone, PartialEq)]
+pub struct State {
+    /// What health checks hear.
+    pub good: bool,
+    /// Connections idle for this long are closed; unset until the decisions have begun.
+    pub idle: Option<Duration>,
+    /// The notice to leave has come, and the process is stopped at this time.
+    pub draining: Option<Unix>,
+    /// Requests that arrive are still read.
+    pub open: bool,
+    /// Requests in hand that have no answer yet.
+    pub unanswered: usize,
+}
+
+/// The fronts' and backends' handle on the core.
+#[derive(Clone)]
+pub struct Exchange {
+    inbox: mpsc::Sender<Input>,
+    state: watch::Receiver<State>,
+}
+
+/// The core's ends of the exchange.
+pub struct CoreEnds {
+    /// What it is told.
+    pub inbox: mpsc::Receiver<Input>,
+    /// Commands to what runs requests.
+    pub runs: mpsc::Sender<RunCommand>,
+    /// Commands to what makes calls.
+    pub calls: mpsc::Sender<CallCommand>,
+    /// What everyone may see.
+    pub state: watch::Sender<State>,
+}
+
+/// The backends' ends of the exchange.
+pub struct BackendEnds {
+    /// Commands to what runs requests.
+    pub runs: mpsc::Receiver<RunCommand>,
+    /// Commands to what makes calls.
+    pub calls: mpsc::Receiver<CallCommand>,
+}
+
+/// A new exchange: the handle, the core's ends and the backends' ends.
+pub fn new() -> (Exchange, CoreEnds, BackendEnds) {
+    let (inbox, core_inbox) = mpsc::channel(INBOX);
+    let (runs, backend_runs) = mpsc::channel(COMMANDS);
+    let (calls, backend_calls) = mpsc::channel(COMMANDS);
+    let state = State { good: false, idle: None, draining: None, open: true, unanswered: 0 };
+    let (state, seen) = watch::channel(state);
+    let core = CoreEnds { inbox: core_inbox, runs, calls, state };
+    (Exchange { inbox, state: seen }, core, BackendEnds { runs: backend_runs, calls: backend_calls })
+}
+
+impl Exchange {
+    /// Hands a request to the core; its outcome comes by the ticket.
+    pub async fn submit(&self, request: Request, ticket: Ticket<u64>) {
+        self.tell(Input::Submitted(Box::new(request), ticket)).await;
+    }
+
+    /// The caller has gone and no answer is owed.
+    pub async fn gone(&self, txn: Bytes) {
+        self.tell(Input::Gone(txn)).await;
+    }
+
+    /// A backend's report.
+    pub async fn report(&self, report: Report) {
+        self.tell(Input::Report(report)).await;
+    }
+
+    /// The notice to leave.
+    pub async fn drain(&self, stop: Unix) {
+        self.tell(Input::Drain(stop)).await;
+    }
+
+    /// What the core tells everyone.
+    pub fn state(&self) -> watch::Receiver<State> {
+        self.state.clone()
+    }
+
+    async fn tell(&self, input: Input) {
+        // The core ends only with the process, so what can't be told then is owed to nobody.
+        let _ = self.inbox.send(input).await;
+    }
+}
--- a/adapter/src/params.rs
+++ b/settings/src/lib.rs
@@ -1,11 +1,38 @@
-//! Reads a backend's settings from the JSON text that the simulator sends at its start.
+//! Reads a server's settings from JSON text: what the simulator sends at a start, and what a real node finds
+//! under `settings` in its configuration. Unknown keys are skipped.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
 
+use std::fmt;
 use std::time::Duration;
 
 use serde::Deserialize;
-use swiftwinch::{Class, Dependency, Effect, Preemption, Settings, Signal};
+use swiftwinch::{Class, Dependency, Effect, Gauges, Preemption, Settings, Signal};
 
-use crate::wire::Malformed;
+/// What is wrong with the text; names the key.
+#[derive(Debug, PartialEq, Eq)]
+pub struct BadSettings(pub String);
+
+impl fmt::Display for BadSettings {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "settings: {}", self.0)
+    }
+}
+
+impl std::error::Error for BadSettings {}
+
+/// The settings and the names that go with them, each list in the order of its indices.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Parsed {
+    /// What the decision module is given.
+    pub settings: Settings,
+    /// The names of the gauges.
+    pub gauges: Vec<String>,
+    /// The names of the classes.
+    pub classes: Vec<String>,
+    /// The names of the tenants.
+    pub tenants: Vec<String>,
+}
 
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
@@ -30,6 +57,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Service {
+    #[serde(default)]
+    name: String,
     slo: u64,
     deadline: u64,
     #[serde(default)]
@@ -103,6 +132,8 @@
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 struct Tenant {
+    #[serde(default)]
+    name: String,
     #[serde(default)]
     quota_per_s: f64,
 }
@@ -111,9 +142,9 @@
     1.0
 }
 
-/// The settings and the names of the gauges, in their order.
-pub fn parse(text: &str) -> Result<(Settings, Vec<String>), Malformed> {
-    let params: Params = serde_json::from_str(text).map_err(|e| Malformed(format!("settings: {e}")))?;
+/// Reads the text.
+pub fn parse(text: &str) -> Result<Parsed, BadSettings> {
+    let params: Params = serde_json::from_str(text).map_err(|e| BadSettings(e.to_string()))?;
     let specifics = &params.specifics;
     let classes = params
         .services
@@ -147,10 +178,15 @@
         crowd_per_core: params.safety.fall_multiple,
         tick: Duration::from_micros(params.tick),
     };
-    Ok((settings, params.specifics.gauges))
+    Ok(Parsed {
+        settings,
+        gauges: params.specifics.gauges,
+        classes: params.services.into_iter().map(|s| s.name).collect(),
+        tenants: params.tenants.into_iter().map(|t| t.name).collect(),
+    })
 }
 
-fn class(service: &Service, position: usize, specifics: &Specifics) -> Result<Class, Malformed> {
+fn class(service: &Service, position: usize, specifics: &Specifics) -> Result<Class, BadSettings> {
     Ok(Class {
         aim: Duration::from_micros(service.slo),
         aim_stretch: service.aim_stretch,
@@ -169,7 +205,7 @@
     })
 }
 
-fn dependency(specifics: &Specifics) -> Result<Dependency, Malformed> {
+fn dependency(specifics: &Specifics) -> Result<Dependency, BadSettings> {
     match specifics.depends_on.as_str() {
         "" | "off" => Ok(Dependency::Off),
         "shared" => Ok(Dependency::Shared {
@@ -182,7 +218,7 @@
     }
 }
 
-fn preemption(word: &str) -> Result<Preemption, Malformed> {
+fn preemption(word: &str) -> Result<Preemption, BadSettings> {
     match word {
         "" | "off" => Ok(Preemption::Off),
         "drop" => Ok(Preemption::Drop),
@@ -191,7 +227,7 @@
     }
 }
 
-fn signal(word: &str) -> Result<Signal, Malformed> {
+fn signal(word: &str) -> Result<Signal, BadSettings> {
     match word {
         "" | "off" => Ok(Signal::Off),
         "level" => Ok(Signal::Level),
@@ -201,8 +237,21 @@
     }
 }
 
-fn unknown<T>(key: &str, word: &str) -> Result<T, Malformed> {
-    Err(Malformed(format!("settings: {key} has the unknown value {word:?}")))
+fn unknown<T>(key: &str, word: &str) -> Result<T, BadSettings> {
+    Err(BadSettings(format!("{key} has the unknown value {word:?}")))
+}
+
+/// Puts gauges in the field's terms, by the names the backend's settings give them.
+pub fn gauges(names: &[String], values: &[f64]) -> Gauges {
+    let mut gauges = Gauges::default();
+    for (name, &value) in names.iter().zip(values) {
+        match name.as_str() {
+            "cpu_busy" => gauges.busy = Some(value),
+            "runnable" => gauges.runnable = Some(value),
+            _ => {}
+        }
+    }
+    gauges
 }
 
 #[cfg(test)]
@@ -217,7 +266,7 @@
 
     #[test]
     fn reads_what_it_knows_and_skips_the_rest() {
-        let (settings, _) = parse(SMALL).unwrap();
+        let settings = parse(SMALL).unwrap().settings;
         assert_eq!(settings.cores, 2);
         assert_eq!(settings.signal, Signal::Level);
         assert_eq!(settings.classes[0].effect, Effect::Keyed);
@@ -233,4 +282,11 @@
         assert!(parse(&odd).unwrap_err().to_string().contains("sometimes"));
         assert!(parse("{").is_err());
     }
+
+    #[test]
+    fn gauges_go_by_name() {
+        let names = ["mem_used", "runnable", "cpu_busy"].map(String::from);
+        let read = gauges(&names, &[0.5, 7.0, 0.25]);
+        assert_eq!((read.runnable, read.busy), (Some(7.0), Some(0.25)));
+    }
 }
