--- /dev/null
+++ b/node/src/backends/interpreter.rs
@@ -0,0 +1,274 @@
+//! The link to the interpreter, which runs requests. A broken link is made anew; what happened meanwhile is
+//! read before anything is commanded again, so that no run is started twice and no end is missed.
+
+use std::collections::BTreeMap;
+use std::io::{self, Write};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+
+use super::lines::{self, Link, Message};
+use crate::clock::{self, Unix};
+use crate::exchange::{End, Exchange, Report, RunCommand};
+use crate::log;
+
+/// Between two attempts at a link.
+const RETRY: Duration = Duration::from_millis(100);
+/// The tag of the question whose answer shows that all notices from before it have been read.
+const FENCE: &[u8] = b"fence";
+/// A start that is this much later than the one known is another one.
+const RESTARTED: Duration = Duration::from_secs(1);
+
+/// A run from its command to its end.
+struct Run {
+    class: u16,
+    body: Bytes,
+    /// The notice of the call it waits for, and what it was told to go on with; void after the next notice.
+    awaits: u64,
+    goes_on: Option<GoesOn>,
+    stopped: bool,
+}
+
+enum GoesOn {
+    Reply(Bytes),
+    Without,
+}
+
+/// The client side of the interpreter.
+pub struct Interpreter {
+    address: SocketAddr,
+    exchange: Exchange,
+    commands: mpsc::Receiver<RunCommand>,
+    classes: Vec<String>,
+    runs: BTreeMap<Bytes, Run>,
+    /// The last notice that was read.
+    read: u64,
+    started: Option<Unix>,
+}
+
+impl Interpreter {
+    /// The link to the interpreter at this address, where classes have these names.
+    pub fn new(
+        address: SocketAddr,
+        exchange: Exchange,
+        commands: mpsc::Receiver<RunCommand>,
+        classes: Vec<String>,
+    ) -> Self {
+        Interpreter { address, exchange, commands, classes, runs: BTreeMap::new(), read: 0, started: None }
+    }
+
+    /// Holds the link for as long as there are commands to come.
+    pub async fn run(mut self) {
+        loop {
+            let stream = match self.unlinked(TcpStream::connect(self.address)).await {
+                Some(Ok(stream)) => stream,
+                None => return,
+                Some(Err(e)) => {
+                    log!("interpreter: no link: {e}");
+                    if self.unlinked(clock::until(clock::now() + RETRY)).await.is_none() {
+                        return;
+                    }
+                    continue;
+                }
+            };
+            match self.linked(Link::new(stream)).await {
+                Ok(()) => return,
+                Err(e) => log!("interpreter: link lost: {e}"),
+            }
+            if self.unlinked(clock::until(clock::now() + RETRY)).await.is_none() {
+                return;
+            }
+        }
+    }
+
+    /// Takes commands down while something else goes on; nothing if there are none to come.
+    async fn unlinked<T>(&mut self, until: impl std::future::Future<Output = T>) -> Option<T> {
+        tokio::pin!(until);
+        loop {
+            tokio::select! {
+                done = &mut until => return Some(done),
+                command = self.commands.recv() => self.note(&command?),
+            }
+        }
+    }
+
+    async fn linked(&mut self, mut link: Link) -> io::Result<()> {
+        link.output.put_slice(format!("CONNECT {}\r\n", self.read).as_bytes());
+        let mut synced = false;
+        loop {
+            while let Some(message) = lines::take(&mut link.input, has_body)? {
+                if self.heard(message, &mut link.output).await? {
+                    synced = true;
+                    self.command_again(&mut link.output);
+                }
+            }
+            let room = link.has_room();
+            tokio::select! {
+                turned = link.turn() => turned?,
+                command = self.commands.recv(), if room => {
+                    let Some(command) = command else { return Ok(()) };
+                    self.commanded(&command, synced, &mut link.output);
+                    while let Ok(command) = self.commands.try_recv() {
+                        self.commanded(&command, synced, &mut link.output);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes a message in. True when all notices from before this link have been read.
+    async fn heard(&mut self, message: Message, output: &mut BytesMut) -> io::Result<bool> {
+        match &message.word(0)[..] {
+            b"BANNER" => self.banner(&message, output).await?,
+            b"TOPS" if message.word(1) == FENCE => return Ok(true),
+            b"TOPS" => self.exchange.report(Report::Gauges(message.numbers(2)?)).await,
+            b"VALUE" | b"AWAIT" | b"TRACE" => {
+                let notice: u64 = message.number(1)?;
+                if notice > self.read {
+                    self.read = notice;
+                    self.noticed(notice, message).await?;
+                }
+            }
+            b"ERROR" => log!("interpreter: not carried out: {:?} {:?}", message.word(1), message.word(2)),
+            _ => return Err(message.nonsense().into()),
+        }
+        Ok(false)
+    }
+
+    async fn banner(&mut self, message: &Message, output: &mut BytesMut) -> io::Result<()> {
+        let cold = match &message.word(1)[..] {
+            b"fresh" => true,
+            b"seasoned" => false,
+            _ => return Err(message.nonsense().into()),
+        };
+        let started = clock::now().saturating_sub(Duration::from_millis(message.number(2)?));
+        if self.started.is_some_and(|known| started > known + RESTARTED) {
+            // Guards against running again what an earlier life of the interpreter may have run.
+            log!("interpreter: it started anew, {} runs are lost", self.runs.len());
+            self.read = 0;
+            for txn in std::mem::take(&mut self.runs).into_keys() {
+                self.exchange.report(Report::Ended(txn, End::Crashed)).await;
+            }
+        }
+        self.started = Some(started);
+        output.put_slice(b"TOP ");
+        output.put_slice(FENCE);
+        output.put_slice(b"\r\n");
+        self.exchange.report(Report::Up { cold }).await;
+        Ok(())
+    }
+
+    async fn noticed(&mut self, notice: u64, message: Message) -> io::Result<()> {
+        let txn = message.word(2);
+        let body = message.body.clone().unwrap_or_default();
+        match &message.word(0)[..] {
+            b"VALUE" => {
+                let end = match &message.word(3)[..] {
+                    b"done" => End::Done(body),
+                    b"crashed" => End::Crashed,
+                    b"aborted" => End::Aborted,
+                    b"stale" => End::Stale,
+                    _ => return Err(message.nonsense().into()),
+                };
+                self.runs.remove(&txn);
+                self.exchange.report(Report::Ended(txn, end)).await;
+            }
+            b"AWAIT" => {
+                if let Some(run) = self.runs.get_mut(&txn) {
+                    (run.awaits, run.goes_on) = (notice, None);
+                }
+                self.exchange.report(Report::CallNeeded(txn, body)).await;
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    /// Keeps what a command changes, for as long as its effect has not been read.
+    fn note(&mut self, command: &RunCommand) {
+        let (txn, change): (&Bytes, fn(&mut Run, &RunCommand)) = match command {
+            RunCommand::Run { txn, class, body, .. } => {
+                let run = Run { class: *class, body: body.clone(), awaits: 0, goes_on: None, stopped: false };
+                self.runs.insert(txn.clone(), run);
+                return;
+            }
+            RunCommand::Gauges => return,
+            RunCommand::Stop(txn) => (txn, |run, _| run.stopped = true),
+            RunCommand::Skip(txn) => (txn, |run, _| run.goes_on = Some(GoesOn::Without)),
+            RunCommand::Resolve(txn, _) => (txn, |run, command| {
+                if let RunCommand::Resolve(_, reply) = command {
+                    run.goes_on = Some(GoesOn::Reply(reply.clone()));
+                }
+            }),
+        };
+        if let Some(run) = self.runs.get_mut(txn) {
+            change(run, command);
+        }
+    }
+
+    fn commanded(&mut self, command: &RunCommand, synced: bool, output: &mut BytesMut) {
+        self.note(command);
+        if !synced {
+            return;
+        }
+        match command {
+            RunCommand::Gauges => output.put_slice(b"TOP g\r\n"),
+            RunCommand::Run { txn, .. } => self.apply(txn, output),
+            RunCommand::Stop(txn) => self.stop(txn, output),
+            RunCommand::Resolve(txn, _) | RunCommand::Skip(txn) => self.go_on(txn, output),
+        }
+    }
+
+    /// Commands again whatever has no end or effect that was read. A run that goes on is not disturbed.
+    fn command_again(&self, output: &mut BytesMut) {
+        for txn in self.runs.keys() {
+            self.apply(txn, output);
+            self.go_on(txn, output);
+            self.stop(txn, output);
+        }
+    }
+
+    fn apply(&self, txn: &Bytes, output: &mut BytesMut) {
+        let Some(run) = self.runs.get(txn) else { return };
+        let class = self.classes.get(usize::from(run.class)).map_or("", String::as_str);
+        put(output, &[b"APPLY", txn, class.as_bytes()], Some(&run.body));
+    }
+
+    fn stop(&self, txn: &Bytes, output: &mut BytesMut) {
+        if self.runs.get(txn).is_some_and(|run| run.stopped) {
+            put(output, &[b"BREAK", txn], None);
+        }
+    }
+
+    fn go_on(&self, txn: &Bytes, output: &mut BytesMut) {
+        let Some(run) = self.runs.get(txn) else { return };
+        match &run.goes_on {
+            Some(GoesOn::Reply(reply)) => put(output, &[b"RESOLVE", txn], Some(reply)),
+            Some(GoesOn::Without) => put(output, &[b"STUB", txn, run.awaits.to_string().as_bytes()], None),
+            None => {}
+        }
+    }
+}
+
+fn has_body(words: &mut dyn Iterator<Item = &[u8]>) -> bool {
+    matches!(words.next(), Some(b"VALUE" | b"AWAIT"))
+}
+
+/// Writes a line of words, and the bytes that it announces.
+pub(super) fn put(output: &mut BytesMut, words: &[&[u8]], body: Option<&[u8]>) {
+    for (i, word) in words.iter().enumerate() {
+        if i > 0 {
+            output.put_u8(b' ');
+        }
+        output.put_slice(word);
+    }
+    if let Some(body) = body {
+        // Writing to memory does not fail.
+        let _ = write!(output.writer(), " {}\r\n", body.len());
+        output.put_slice(body);
+    }
+    output.put_slice(b"\r\n");
+}
--- /dev/null
+++ b/node/src/backends/mod.rs
@@ -0,0 +1,5 @@
+//! The client side: what runs requests and what takes their calls.
+
+pub mod index;
+pub mod interpreter;
+mod lines;
--- /dev/null
+++ b/node/src/core.rs
@@ -0,0 +1,501 @@
+//! Drives the decisions: gathers what happened in one wake-up into one call of [`Admission::handle`], carries
+//! out its actions, and keeps the table of requests, the table of keys and the timers. It knows no wire.
+
+mod keys;
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::time::Duration;
+
+use bytes::Bytes;
+use swiftwinch::{
+    Action, Admission, Arrival, CallerId, ClassId, Effect, Event, Gauges, Outcome as Ended, RequestId,
+    TenantId, TimerId,
+};
+use swiftwinch_settings::Parsed;
+
+use crate::clock::{self, Unix};
+use crate::exchange::{
+    CallCommand, CallEnd, CoreEnds, End, Input, Outcome, Report, Request, RunCommand, State, Ticket,
+};
+use crate::log;
+use keys::{Kept, Keys};
+
+/// The gauges are asked for this long before the timer that they go with, as the answer takes a moment.
+const GAUGE_LEAD: Duration = Duration::from_millis(5);
+/// Gauges older than this are no longer true.
+const GAUGE_LIFE: Duration = Duration::from_millis(500);
+/// A request failed this shortly before its due time was failed for want of time.
+const OVERDUE: Duration = Duration::from_millis(60);
+
+/// One try of a request, from its reading until it is answered and nothing of it runs.
+struct Try {
+    request: Box<Request>,
+    /// The right to answer; used up by the answer, void when the caller has gone.
+    ticket: Option<Ticket>,
+    phase: Phase,
+}
+
+#[derive(Debug, Clone, PartialEq)]
+enum Phase {
+    Held,
+    /// It waits for the outcome of another try of its key.
+    Joining {
+        since: Unix,
+    },
+    Running {
+        since: Unix,
+    },
+    /// Its run waits for a call with this body.
+    AtCall {
+        since: Unix,
+        body: Bytes,
+    },
+    Calling {
+        since: Unix,
+        called: Unix,
+        body: Bytes,
+    },
+}
+
+/// The core of a node.
+pub struct Core {
+    ends: CoreEnds,
+    settings: Parsed,
+    seed: u64,
+    admission: Option<Admission>,
+    tries: HashMap<RequestId, Try>,
+    by_txn: HashMap<Bytes, RequestId>,
+    keys: Keys,
+    next_id: u32,
+    /// The events of the batch that is being gathered.
+    events: Vec<Event>,
+    /// Tries of keys that already have one in this batch, and all that came after them.
+    deferred: VecDeque<Input>,
+    actions: Vec<Action>,
+    timers: BinaryHeap<Reverse<(Unix, TimerId)>>,
+    gauges: (Unix, Gauges),
+    gauges_asked: bool,
+    /// The decisions have been called, if only to open.
+    opened: bool,
+}
+
+impl Core {
+    /// A core that makes its decisions by these settings once something can run requests.
+    pub fn new(ends: CoreEnds, settings: Parsed, seed: u64) -> Self {
+        Core {
+            ends,
+            settings,
+            seed,
+            admission: None,
+            tries: HashMap::new(),
+            by_txn: HashMap::new(),
+            keys: Keys::default(),
+            next_id: 1,
+            events: Vec::new(),
+            deferred: VecDeque::new(),
+            actions: Vec::new(),
+            timers: BinaryHeap::new(),
+            gauges: (Duration::ZERO, Gauges::default()),
+            gauges_asked: false,
+            opened: false,
+        }
+    }
+
+    /// Serves until every other end of the exchange is gone.
+    pub async fn run(mut self) {
+        loop {
+            let wake = self.next_wake();
+            tokio::select! {
+                input = self.ends.inbox.recv() => {
+                    let Some(input) = input else { return };
+                    // All sockets that are ready get their turn first, so that one wake-up is one batch.
+                    tokio::task::yield_now().await;
+                    self.take_in(input);
+                    while let Ok(input) = self.ends.inbox.try_recv() {
+                        self.take_in(input);
+                    }
+                }
+                () = clock::until(wake) => {}
+            }
+            self.settle();
+        }
+    }
+
+    /// When something is to be done though nothing happens.
+    fn next_wake(&self) -> Unix {
+        let timer = self.timers.peek().map(|Reverse((at, _))| *at);
+        let timer = timer.map(|at| if self.gauges_asked { at } else { at.saturating_sub(GAUGE_LEAD) });
+        let closing = self.closing_at().filter(|_| self.ends.state.borrow().open);
+        [timer, closing].into_iter().flatten().min().unwrap_or(clock::now() + Duration::from_secs(3600))
+    }
+
+    /// From then on nothing that comes may be run, so nothing more is read.
+    fn closing_at(&self) -> Option<Unix> {
+        let (_, notice) = self.ends.state.borrow().draining?;
+        Some(notice + self.settings.settings.drain_grace)
+    }
+
+    /// Hands the batch to the decisions and carries out what they answer, until nothing more follows from it.
+    fn settle(&mut self) {
+        let now = clock::now();
+        self.fire_timers(now);
+        loop {
+            self.decide(now);
+            if self.deferred.is_empty() && self.events.is_empty() {
+                break;
+            }
+            for input in std::mem::take(&mut self.deferred) {
+                self.take_in(input);
+            }
+        }
+        self.keys.sweep(now);
+        let open = self.closing_at().is_none_or(|at| now < at);
+        let unanswered = self.tries.values().filter(|t| t.ticket.is_some()).count();
+        self.update(|state| (state.open, state.unanswered) = (open, unanswered));
+    }
+
+    fn update(&self, change: impl FnOnce(&mut State)) {
+        self.ends.state.send_if_modified(|state| {
+            let before = state.clone();
+            change(state);
+            *state != before
+        });
+    }
+
+    fn fire_timers(&mut self, now: Unix) {
+        let Some(&Reverse((at, _))) = self.timers.peek() else { return };
+        if !self.gauges_asked && at <= now + GAUGE_LEAD {
+            self.gauges_asked = true;
+            self.command_run(RunCommand::Gauges);
+        }
+        let fresh = self.gauges.0 + GAUGE_LIFE >= now;
+        let gauges = if fresh { self.gauges.1 } else { Gauges::default() };
+        while let Some(&Reverse((at, timer))) = self.timers.peek() {
+            if at > now {
+                break;
+            }
+            self.timers.pop();
+            self.gauges_asked = false;
+            self.events.push(Event::Timer(timer, gauges));
+        }
+    }
+
+    fn take_in(&mut self, input: Input) {
+        if !self.deferred.is_empty() {
+            self.deferred.push_back(input);
+            return;
+        }
+        match input {
+            Input::Submitted(request, ticket) => self.submitted(request, ticket),
+            Input::Gone(txn) => self.gone(&txn),
+            Input::Drain(stop) => self.drain(stop),
+            Input::Report(Report::Up { cold }) => self.start(cold),
+            Input::Report(Report::Gauges(values)) => {
+                let gauges = swiftwinch_settings::gauges(&self.settings.gauges, &values);
+                self.gauges = (clock::now(), gauges);
+            }
+            Input::Report(Report::Ended(txn, end)) => self.run_ended(&txn, end),
+            Input::Report(Report::CallNeeded(txn, body)) => self.call_needed(&txn, body),
+            Input::Report(Report::CallEnded(txn, end)) => self.call_ended(&txn, end),
+        }
+    }
+
+    /// The decisions begin when something can run requests: only then is it known whether that is cold.
+    fn start(&mut self, cold: bool) {
+        if self.admission.is_none() {
+            let mut settings = self.settings.settings.clone();
+            settings.cold = cold;
+            self.admission = Some(Admission::new(settings, self.seed, clock::now()));
+            if let Some((stop, _)) = self.ends.state.borrow().draining {
+                self.events.push(Event::Drain(stop.saturating_sub(clock::now())));
+            }
+        }
+    }
+
+    fn submitted(&mut self, request: Box<Request>, ticket: Ticket) {
+        // Guards against an id that is used twice while it is open: the links could not tell the two apart.
+        if self.by_txn.contains_key(&request.txn) {
+            log!("request {:?} came again while it is open", request.txn);
+            return ticket.answer(Outcome::Failed { overdue: false });
+        }
+        if self.admission.is_none() {
+            return ticket.answer(Outcome::Refused { retry_after: None, stay: false });
+        }
+        let now = clock::now();
+        let key = self.key_of(&request);
+        // Guards against two tries of one key in one batch: the second is linked to what became of the first.
+        if key.as_ref().is_some_and(|key| self.keys.in_batch(key)) {
+            return self.deferred.push_back(Input::Submitted(request, ticket));
+        }
+        let id = RequestId(self.next_id);
+        self.next_id = self.next_id.wrapping_add(1).max(1);
+        let repeats = key.and_then(|key| self.keys.arrived(key, request.door));
+        self.events.push(Event::Arrived(Arrival {
+            id,
+            repeats,
+            class: ClassId(request.class),
+            tenant: TenantId(request.tenant),
+            hint: request.hint,
+            kb: request.kb,
+            age: now.saturating_sub(request.door),
+            rank: request.rank,
+            caller: CallerId(request.caller),
+            patience: Some(request.due.saturating_sub(now)),
+        }));
+        self.by_txn.insert(request.txn.clone(), id);
+        self.tries.insert(id, Try { request, ticket: Some(ticket), phase: Phase::Held });
+    }
+
+    /// The key of a request whose class must not run twice.
+    fn key_of(&self, request: &Request) -> Option<keys::Key> {
+        let class = self.settings.settings.classes.get(usize::from(request.class))?;
+        let key = request.key.clone().filter(|_| class.effect == Effect::Keyed)?;
+        Some((request.class, key))
+    }
+
+    fn gone(&mut self, txn: &Bytes) {
+        let Some(&id) = self.by_txn.get(txn) else { return };
+        let Some(taken) = self.tries.get_mut(&id) else { return };
+        if taken.ticket.take().is_some() {
+            self.events.push(Event::Abandoned(id));
+        }
+    }
+
+    fn drain(&mut self, stop: Unix) {
+        let now = clock::now();
+        if self.ends.state.borrow().draining.is_none() {
+            self.events.push(Event::Drain(stop.saturating_sub(now)));
+            self.update(|state| state.draining = Some((stop, now)));
+        }
+    }
+
+    fn run_ended(&mut self, txn: &Bytes, end: End) {
+        let Some(&id) = self.by_txn.get(txn) else {
+            return log!("run of {txn:?} ended, which is not in hand");
+        };
+        let now = clock::now();
+        let Some(taken) = self.tries.get(&id) else { return };
+        let since = match taken.phase {
+            Phase::Held | Phase::Joining { .. } => return log!("run of {txn:?} ended, which never began"),
+            Phase::Running { since } | Phase::AtCall { since, .. } => since,
+            Phase::Calling { since, .. } => {
+                self.command_call(CallCommand::GiveUp(txn.clone()));
+                since
+            }
+        };
+        let (outcome, answer, kept) = match end {
+            End::Done(result) => {
+                // Kept results outlive the buffer that they were read into.
+                let kept = if self.keys.holds(id) { Bytes::copy_from_slice(&result) } else { Bytes::new() };
+                (Ended::Ok, Outcome::Served(result), Kept::Done(kept))
+            }
+            End::Crashed => (Ended::Error, Outcome::Failed { overdue: false }, Kept::Failed),
+            End::Aborted => (Ended::Stopped, Outcome::Failed { overdue: false }, Kept::Failed),
+            End::Stale => (Ended::Moot, Outcome::Failed { overdue: false }, Kept::Failed),
+            End::NeverRan => {
+                (Ended::Error, Outcome::Refused { retry_after: None, stay: false }, Kept::NeverRan)
+            }
+        };
+        self.answer(id, answer);
+        self.events.push(Event::Finished { id, outcome, took: now.saturating_sub(since) });
+        for joiner in self.keys.ended(id, kept.clone()) {
+            self.join_ended(joiner, &kept, now);
+        }
+        self.forget(id);
+    }
+
+    /// Serves a joined try with what became of the try that ran.
+    fn join_ended(&mut self, id: RequestId, kept: &Kept, now: Unix) {
+        let Some(Try { phase: Phase::Joining { since }, .. }) = self.tries.get(&id) else { return };
+        let took = now.saturating_sub(*since);
+        let (outcome, answer) = match kept {
+            Kept::Done(result) => (Ended::Ok, Outcome::Served(result.clone())),
+            Kept::Failed => (Ended::Error, Outcome::Failed { overdue: false }),
+            Kept::NeverRan => (Ended::Error, Outcome::Refused { retry_after: None, stay: false }),
+        };
+        self.answer(id, answer);
+        self.events.push(Event::Finished { id, outcome, took });
+        self.forget(id);
+    }
+
+    fn call_needed(&mut self, txn: &Bytes, body: Bytes) {
+        let Some(&id) = self.by_txn.get(txn) else {
+            return log!("{txn:?} waits for a call and is not in hand");
+        };
+        let Some(taken) = self.tries.get_mut(&id) else { return };
+        if let Phase::Running { since } = taken.phase {
+            taken.phase = Phase::AtCall { since, body };
+            self.events.push(Event::CallNeeded(id));
+        }
+    }
+
+    fn call_ended(&mut self, txn: &Bytes, end: CallEnd) {
+        let Some(&id) = self.by_txn.get(txn) else { return };
+        let Some(taken) = self.tries.get_mut(&id) else { return };
+        let Phase::Calling { since, called, body } = &taken.phase else { return };
+        let (since, took, body) = (*since, clock::now().saturating_sub(*called), body.clone());
+        let outcome = match end {
+            CallEnd::Ok(reply) => {
+                taken.phase = Phase::Running { since };
+                self.command_run(RunCommand::Resolve(txn.clone(), reply));
+                self.events.push(Event::CallReturned { id, outcome: Ended::Ok, took });
+                return;
+            }
+            CallEnd::Failed => Ended::Error,
+            CallEnd::Refused => Ended::Refused,
+            CallEnd::TimedOut => Ended::TimedOut,
+            CallEnd::Unreachable => Ended::Unreachable,
+            CallEnd::CutOff => Ended::CutOff,
+        };
+        taken.phase = Phase::AtCall { since, body };
+        self.events.push(Event::CallReturned { id, outcome, took });
+    }
+
+    /// One call of the decisions with the events gathered, and their actions.
+    fn decide(&mut self, now: Unix) {
+        let events = std::mem::take(&mut self.events);
+        self.keys.batch_over();
+        let Some(admission) = &mut self.admission else { return };
+        if events.is_empty() && std::mem::replace(&mut self.opened, true) {
+            return;
+        }
+        let mut actions = std::mem::take(&mut self.actions);
+        admission.handle(now, &events, &mut actions);
+        for action in actions.drain(..) {
+            self.act(action, now);
+        }
+        self.actions = actions;
+        for event in &events {
+            if let Event::Abandoned(id) = event {
+                let over = |t: &Try| matches!(t.phase, Phase::Held | Phase::Joining { .. });
+                if self.tries.get(id).is_some_and(over) {
+                    self.forget(*id);
+                }
+            }
+        }
+    }
+
+    fn act(&mut self, action: Action, now: Unix) {
+        match action {
+            Action::Run(id) => self.start_run(id, now),
+            Action::Pause(id) => self.with_txn(id, |core, txn| core.command_run(RunCommand::Stop(txn))),
+            Action::Refuse { id, retry_after, stay } => {
+                // Guards the promise in a refusal against a try that has begun or has joined one that has.
+                let held = self.tries.get(&id).is_some_and(|t| t.phase == Phase::Held);
+                let refused = Outcome::Refused { retry_after, stay };
+                self.answer(id, if held { refused } else { Outcome::Failed { overdue: false } });
+                self.end_unless_running(id);
+            }
+            Action::Fail(id) => {
+                let due = self.tries.get(&id).map_or(now, |t| t.request.due);
+                self.answer(id, Outcome::Failed { overdue: now + OVERDUE >= due });
+                self.end_unless_running(id);
+            }
+            Action::Join(id) => self.join(id, now),
+            Action::Remember(id, keep) => {
+                if let Some(key) = self.tries.get(&id).and_then(|t| self.key_of(&t.request)) {
+                    self.keys.remember(key, id, now + keep);
+                }
+            }
+            Action::Forget(id) => self.keys.forget(id),
+            Action::Call(id, within) => self.call(id, now, now + within),
+            Action::SkipCall(id) => {
+                let Some(taken) = self.tries.get_mut(&id) else { return };
+                if let Phase::AtCall { since, .. } = taken.phase {
+                    taken.phase = Phase::Running { since };
+                    self.with_txn(id, |core, txn| core.command_run(RunCommand::Skip(txn)));
+                }
+            }
+            Action::SetHealth { good, .. } => self.update(|state| state.good = good),
+            Action::IdleLimit(limit) => self.update(|state| state.idle = Some(limit)),
+            Action::SetTimer(timer, after) => self.timers.push(Reverse((now + after, timer))),
+            // Neither wire has a place for a free value, and the settings forbid it where there is none.
+            Action::Advertise(_) => {}
+        }
+    }
+
+    fn with_txn(&mut self, id: RequestId, then: impl FnOnce(&mut Self, Bytes)) {
+        if let Some(txn) = self.tries.get(&id).map(|t| t.request.txn.clone()) {
+            then(self, txn);
+        }
+    }
+
+    fn start_run(&mut self, id: RequestId, now: Unix) {
+        let Some(taken) = self.tries.get(&id) else { return };
+        if taken.phase != Phase::Held {
+            return;
+        }
+        let key = self.key_of(&taken.request);
+        // Guards against a second run of one effect, whatever asks for it.
+        if key.is_some_and(|key| !self.keys.may_run(&key, id)) {
+            log!("try {:?} of a key that has run is not run", taken.request.txn);
+            self.answer(id, Outcome::Failed { overdue: false });
+            self.events.push(Event::Finished { id, outcome: Ended::Error, took: Duration::ZERO });
+            return self.forget(id);
+        }
+        let Some(taken) = self.tries.get_mut(&id) else { return };
+        taken.phase = Phase::Running { since: now };
+        let Request { txn, class, body, due, .. } = &*taken.request;
+        let (txn, class, body, due) = (txn.clone(), *class, body.clone(), *due);
+        if self.ends.runs.try_send(RunCommand::Run { txn: txn.clone(), class, body, due }).is_err() {
+            log!("no room for one more command to what runs requests");
+            self.run_ended(&txn, End::NeverRan);
+        }
+    }
+
+    fn join(&mut self, id: RequestId, now: Unix) {
+        let Some(taken) = self.tries.get_mut(&id) else { return };
+        taken.phase = Phase::Joining { since: now };
+        let key = self.tries.get(&id).and_then(|t| self.key_of(&t.request));
+        if let Some(kept) = key.map_or(Some(Kept::Failed), |key| self.keys.join(&key, id)) {
+            self.join_ended(id, &kept, now);
+        }
+    }
+
+    fn call(&mut self, id: RequestId, now: Unix, until: Unix) {
+        let Some(taken) = self.tries.get_mut(&id) else { return };
+        let Phase::AtCall { since, body } = &taken.phase else { return };
+        let (since, body) = (*since, body.clone());
+        let (txn, class) = (taken.request.txn.clone(), taken.request.class);
+        taken.phase = Phase::Calling { since, called: now, body: body.clone() };
+        self.command_call(CallCommand::Call { txn, class, body, until });
+    }
+
+    /// Gives a request its outcome, if it still lacks one and its caller is there.
+    fn answer(&mut self, id: RequestId, outcome: Outcome) {
+        let Some(taken) = self.tries.get_mut(&id) else { return };
+        if let Some(ticket) = taken.ticket.take() {
+            ticket.answer(outcome);
+        }
+    }
+
+    /// What was answered is over, unless it runs: then its end is still to come.
+    fn end_unless_running(&mut self, id: RequestId) {
+        if self.tries.get(&id).is_some_and(|t| matches!(t.phase, Phase::Held | Phase::Joining { .. })) {
+            self.forget(id);
+        }
+    }
+
+    fn forget(&mut self, id: RequestId) {
+        if let Some(taken) = self.tries.remove(&id) {
+            self.by_txn.remove(&taken.request.txn);
+        }
+    }
+
+    fn command_run(&self, command: RunCommand) {
+        if self.ends.runs.try_send(command).is_err() {
+            log!("no room for one more command to what runs requests");
+        }
+    }
+
+    fn command_call(&mut self, command: CallCommand) {
+        let made = if let CallCommand::Call { txn, .. } = &command { Some(txn.clone()) } else { None };
+        if self.ends.calls.try_send(command).is_err() {
+            log!("no room for one more command to what makes calls");
+            if let Some(txn) = made {
+                self.call_ended(&txn, CallEnd::Unreachable);
+            }
+        }
+    }
+}
--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -63,14 +63,14 @@
 /// The right to give one request its outcome. Answering uses it up, so no request is answered twice, and the
 /// room for the answer is set aside beforehand, so answering never waits.
 #[derive(Debug)]
-pub struct Ticket<T> {
-    tag: T,
-    room: mpsc::OwnedPermit<(T, Outcome)>,
+pub struct Ticket {
+    tag: u64,
+    room: mpsc::OwnedPermit<(u64, Outcome)>,
 }
 
-impl<T> Ticket<T> {
+impl Ticket {
     /// A ticket on the answers' queue, or none while as many are out as the queue holds.
-    pub fn new(answers: &mpsc::Sender<(T, Outcome)>, tag: T) -> Option<Self> {
+    pub fn new(answers: &mpsc::Sender<(u64, Outcome)>, tag: u64) -> Option<Self> {
         answers.clone().try_reserve_owned().ok().map(|room| Ticket { tag, room })
     }
 
@@ -84,7 +84,7 @@
 #[derive(Debug)]
 pub enum Input {
     /// A front read a request.
-    Submitted(Box<Request>, Ticket<u64>),
+    Submitted(Box<Request>, Ticket),
     /// The caller of the request with this id has gone; its ticket is void.
     Gone(Bytes),
     /// A backend reports.
@@ -159,8 +159,6 @@
     },
     /// Stop a run.
     Stop(Bytes),
-    /// Go on with a paused run.
-    Continue(Bytes),
     /// The reply to the call that a run waits for.
     Resolve(Bytes, Bytes),
     /// Go on without the call that a run waits for.
@@ -194,8 +192,8 @@
     pub good: bool,
     /// Connections idle for this long are closed; unset until the decisions have begun.
     pub idle: Option<Duration>,
-    /// The notice to leave has come, and the process is stopped at this time.
-    pub draining: Option<Unix>,
+    /// The notice to leave has come: when the process is stopped, and when the notice came.
+    pub draining: Option<(Unix, Unix)>,
     /// Requests that arrive are still read.
     pub open: bool,
     /// Requests in hand that have no answer yet.
@@ -242,7 +240,7 @@
 
 impl Exchange {
     /// Hands a request to the core; its outcome comes by the ticket.
-    pub async fn submit(&self, request: Request, ticket: Ticket<u64>) {
+    pub async fn submit(&self, request: Request, ticket: Ticket) {
         self.tell(Input::Submitted(Box::new(request), ticket)).await;
     }
 
--- /dev/null
+++ b/node/src/fronts/jsonrpc.rs
@@ -0,0 +1,390 @@
+//! The platform's front: JSON-RPC 2.0 over TCP, one message a line.
+
+use std::borrow::Cow;
+use std::collections::HashMap;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use base64::engine::general_purpose::STANDARD as BASE64;
+use base64::Engine;
+use bytes::{BufMut, Bytes, BytesMut};
+use serde::Deserialize;
+use serde_json::value::RawValue;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, watch};
+
+use crate::clock::{self, Unix};
+use crate::exchange::{Exchange, Outcome, Request, State, Ticket};
+use crate::log;
+
+/// Requests that may be open on one connection.
+const MAX_OPEN: usize = 32;
+/// Longest line; a body of 2 KiB in base64 and all other fields take a quarter of it.
+const MAX_LINE: usize = 16 * 1024;
+/// Unwritten bytes beyond which nothing more is read: guards the memory against a peer that reads nothing.
+const MAX_UNWRITTEN: usize = 256 * 1024;
+/// A connection that was told to take nothing new and stays idle is closed after this long.
+const LINGER: Duration = Duration::from_secs(1);
+
+const PARSE_ERROR: i32 = -32700;
+const INVALID_REQUEST: i32 = -32600;
+const METHOD_NOT_FOUND: i32 = -32601;
+const INVALID_PARAMS: i32 = -32602;
+const REFUSED: i32 = -32011;
+const FAILED: i32 = -32000;
+const OVERDUE: i32 = -32001;
+
+/// The names that this front's fields go by.
+#[derive(Debug)]
+pub struct Names {
+    /// The classes, in the order of the settings.
+    pub classes: Vec<String>,
+    /// For each class, whether its requests carry a key.
+    pub keyed: Vec<bool>,
+    /// The tenants, in the order of the settings.
+    pub tenants: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Envelope<'a> {
+    #[serde(borrow, default)]
+    jsonrpc: Option<Cow<'a, str>>,
+    #[serde(borrow, default)]
+    id: Option<&'a RawValue>,
+    #[serde(borrow, default)]
+    method: Option<Cow<'a, str>>,
+    #[serde(borrow, default)]
+    params: Option<&'a RawValue>,
+}
+
+#[derive(Deserialize)]
+struct Params<'a> {
+    #[serde(borrow)]
+    txn: Cow<'a, str>,
+    door: f64,
+    #[serde(default)]
+    lb: u32,
+    #[serde(borrow, default)]
+    team: Cow<'a, str>,
+    limit: Option<f64>,
+    cpu: Option<f64>,
+    ram: f64,
+    #[serde(default)]
+    standing: f64,
+    #[serde(borrow, default)]
+    unique: Option<Cow<'a, str>>,
+    #[serde(borrow, default)]
+    content: Cow<'a, str>,
+}
+
+#[derive(Deserialize)]
+struct Withdrawn<'a> {
+    #[serde(borrow)]
+    txn: Cow<'a, str>,
+}
+
+/// An error answer: its code and what it says.
+type Problem = (i32, &'static str);
+
+struct Open {
+    /// The id as it came, and the request's id on the links.
+    id: Bytes,
+    txn: Bytes,
+}
+
+/// One connection of a front end.
+struct Connection {
+    exchange: Exchange,
+    names: Rc<Names>,
+    state: watch::Receiver<State>,
+    answers: mpsc::Sender<(u64, Outcome)>,
+    open: HashMap<u64, Open>,
+    next_tag: u64,
+    output: BytesMut,
+    /// The peer was told to send nothing new here.
+    told: Option<Unix>,
+    used: Unix,
+    /// Close once everything is answered and written.
+    closing: bool,
+}
+
+/// Serves one connection to its end.
+pub async fn serve(stream: TcpStream, exchange: Exchange, names: Rc<Names>) {
+    // Answers must not wait for company; a refusal of that costs time alone.
+    let _ = stream.set_nodelay(true);
+    let (answers, outcomes) = mpsc::channel(MAX_OPEN);
+    let state = exchange.state();
+    let mut connection = Connection {
+        exchange,
+        names,
+        state,
+        answers,
+        open: HashMap::new(),
+        next_tag: 1,
+        output: BytesMut::new(),
+        told: None,
+        used: clock::now(),
+        closing: false,
+    };
+    // Whatever ended the connection, nobody waits any more for what is still open on it.
+    let _ = connection.talk(stream, outcomes).await;
+    for open in std::mem::take(&mut connection.open).into_values() {
+        connection.exchange.gone(open.txn).await;
+    }
+}
+
+impl Connection {
+    async fn talk(
+        &mut self,
+        mut stream: TcpStream,
+        mut outcomes: mpsc::Receiver<(u64, Outcome)>,
+    ) -> io::Result<()> {
+        let (mut reader, mut writer) = stream.split();
+        let mut input = BytesMut::new();
+        let born_draining = self.state.borrow().draining.is_some();
+        loop {
+            let draining = {
+                let state = self.state.borrow();
+                state.draining.is_some() && !(born_draining && state.open)
+            };
+            if draining && self.told.is_none() {
+                self.tell_to_leave();
+            }
+            let quiet = self.open.is_empty() && self.output.is_empty();
+            if quiet && (self.closing || self.idle_over()) {
+                return Ok(());
+            }
+            let wake = self.next_look();
+            let reading = !self.closing && self.output.len() < MAX_UNWRITTEN;
+            input.reserve(4096);
+            tokio::select! {
+                read = reader.read_buf(&mut input), if reading => {
+                    if read? == 0 {
+                        return Ok(());
+                    }
+                    self.used = clock::now();
+                    self.take_lines(&mut input).await;
+                }
+                written = writer.write_buf(&mut self.output), if !self.output.is_empty() => {
+                    if written? == 0 {
+                        return Err(io::ErrorKind::WriteZero.into());
+                    }
+                }
+                Some((tag, outcome)) = outcomes.recv() => {
+                    self.answer(tag, outcome);
+                    while let Ok((tag, outcome)) = outcomes.try_recv() {
+                        self.answer(tag, outcome);
+                    }
+                }
+                changed = self.state.changed() => if changed.is_err() { return Ok(()) },
+                () = clock::until(wake) => {}
+            }
+        }
+    }
+
+    /// When an idle connection is to be looked at again.
+    fn next_look(&self) -> Unix {
+        let from = self.told.map_or(self.used, |told| told.max(self.used));
+        let limit = if self.told.is_some() { Some(LINGER) } else { self.state.borrow().idle };
+        from + limit.filter(|_| self.open.is_empty()).unwrap_or(Duration::from_secs(3600))
+    }
+
+    /// Whether this idle connection is to end. It is told first, and closed only if the peer does not close
+    /// it: guards a request against crossing the close.
+    fn idle_over(&mut self) -> bool {
+        if clock::now() < self.next_look() {
+            return false;
+        }
+        if self.told.is_none() {
+            self.tell_to_leave();
+            return false;
+        }
+        true
+    }
+
+    fn tell_to_leave(&mut self) {
+        self.told = Some(clock::now());
+        self.output.put_slice(b"{\"jsonrpc\":\"2.0\",\"method\":\"draining\"}\n");
+    }
+
+    async fn take_lines(&mut self, input: &mut BytesMut) {
+        while let Some(end) = input.iter().position(|b| *b == b'\n') {
+            let line = input.split_to(end + 1).freeze();
+            if line.len() > MAX_LINE {
+                return self.too_long();
+            }
+            if line.iter().all(u8::is_ascii_whitespace) {
+                continue;
+            }
+            if let Err((id, (code, message))) = self.take_line(&line).await {
+                self.put_error(&id, code, message, "");
+            }
+        }
+        if input.len() > MAX_LINE {
+            self.too_long();
+        }
+    }
+
+    fn too_long(&mut self) {
+        self.put_error(b"null", INVALID_REQUEST, "the line is too long", "");
+        self.closing = true;
+    }
+
+    async fn take_line(&mut self, line: &Bytes) -> Result<(), (Bytes, Problem)> {
+        const NO_ID: Bytes = Bytes::from_static(b"null");
+        let envelope: Envelope = serde_json::from_slice(line).map_err(|e| {
+            let data = e.classify() == serde_json::error::Category::Data;
+            (NO_ID, if data { (INVALID_REQUEST, "not a request") } else { (PARSE_ERROR, "not JSON") })
+        })?;
+        let id = envelope.id.map(|id| line.slice_ref(id.get().as_bytes()));
+        let named = |problem| (id.clone().unwrap_or(NO_ID), problem);
+        let valid_id = id.as_deref().is_none_or(|id| !matches!(id.first(), Some(b'{' | b'[' | b't' | b'f')));
+        let (Some("2.0"), Some(method), true) = (envelope.jsonrpc.as_deref(), &envelope.method, valid_id)
+        else {
+            return Err((NO_ID, (INVALID_REQUEST, "not a JSON-RPC 2.0 request")));
+        };
+        let params = envelope.params.map_or("{}", RawValue::get);
+        match &method[..] {
+            "status" => {
+                if let Some(id) = id {
+                    let up = self.state.borrow().good;
+                    put_result(&mut self.output, &id, |out| {
+                        out.put_slice(if up { b"{\"up\":true}" } else { b"{\"up\":false}" });
+                    });
+                }
+                Ok(())
+            }
+            "withdraw" => {
+                let withdrawn: Withdrawn = serde_json::from_str(params)
+                    .map_err(|_| named((INVALID_PARAMS, "withdraw names a txn")))?;
+                self.withdraw(withdrawn.txn.as_bytes()).await;
+                Ok(())
+            }
+            class => {
+                let Some(class) = self.names.classes.iter().position(|name| name == class) else {
+                    return Err(named((METHOD_NOT_FOUND, "no such method")));
+                };
+                // Without an id there is nothing to answer to, so nothing is begun.
+                let Some(id) = id.clone() else { return Ok(()) };
+                if self.open.values().any(|open| open.id == id) {
+                    return Err((NO_ID, (INVALID_REQUEST, "the id is in use")));
+                }
+                let request = self.request(class, params, line).map_err(&named)?;
+                self.submit(id, request).await;
+                Ok(())
+            }
+        }
+    }
+
+    fn request(&self, class: usize, params: &str, line: &Bytes) -> Result<Request, Problem> {
+        let params: Params = serde_json::from_str(params)
+            .map_err(|_| (INVALID_PARAMS, "a field is missing or of another kind"))?;
+        let slice = |text: &Cow<str>| match text {
+            Cow::Borrowed(text) => line.slice_ref(text.as_bytes()),
+            Cow::Owned(text) => Bytes::copy_from_slice(text.as_bytes()),
+        };
+        let millis =
+            |ms: f64| Duration::try_from_secs_f64(ms / 1e3).map_err(|_| (INVALID_PARAMS, "no such time"));
+        let keyed = self.names.keyed.get(class).copied().unwrap_or(false);
+        let key = params.unique.as_ref().filter(|_| keyed).map(slice);
+        if keyed && key.is_none() {
+            return Err((INVALID_PARAMS, "a request of this class names its unique key"));
+        }
+        if !is_word(&params.txn) {
+            return Err((INVALID_PARAMS, "txn is one word"));
+        }
+        if !(params.ram > 0.0 && params.ram.is_finite()) {
+            return Err((INVALID_PARAMS, "ram is above 0"));
+        }
+        let door = millis(params.door)?;
+        let tenant = self.names.tenants.iter().position(|name| *name == params.team);
+        if tenant.is_none() && !self.names.tenants.is_empty() {
+            return Err((INVALID_PARAMS, "no such team"));
+        }
+        let limit = millis(params.limit.ok_or((INVALID_PARAMS, "limit is missing"))?)?;
+        // The text of a body is not the body, so here it does not stay a slice of what was read.
+        let body =
+            BASE64.decode(params.content.as_bytes()).map_err(|_| (INVALID_PARAMS, "content is base64"))?;
+        Ok(Request {
+            txn: slice(&params.txn),
+            class: class as u16,
+            tenant: tenant.unwrap_or(0) as u16,
+            key,
+            caller: params.lb,
+            hint: params.cpu.map(millis).transpose()?,
+            kb: params.ram,
+            rank: params.standing.clamp(0.0, 1.0),
+            door,
+            due: door.saturating_add(limit),
+            body: body.into(),
+        })
+    }
+
+    async fn submit(&mut self, id: Bytes, request: Request) {
+        let tag = self.next_tag;
+        self.next_tag += 1;
+        let Some(ticket) = Ticket::new(&self.answers, tag) else {
+            return self.put_refusal(&id, None, false);
+        };
+        self.open.insert(tag, Open { id, txn: request.txn.clone() });
+        self.exchange.submit(request, ticket).await;
+    }
+
+    async fn withdraw(&mut self, txn: &[u8]) {
+        let Some(tag) = self.open.iter().find(|(_, open)| open.txn == txn).map(|(tag, _)| *tag) else {
+            return;
+        };
+        if let Some(open) = self.open.remove(&tag) {
+            self.exchange.gone(open.txn).await;
+        }
+    }
+
+    fn answer(&mut self, tag: u64, outcome: Outcome) {
+        // What was withdrawn meanwhile is owed no answer.
+        let Some(open) = self.open.remove(&tag) else { return };
+        self.used = clock::now();
+        match outcome {
+            Outcome::Served(result) => put_result(&mut self.output, &open.id, |out| {
+                out.put_slice(b"{\"content\":\"");
+                out.put_slice(BASE64.encode(&result).as_bytes());
+                out.put_slice(b"\"}");
+            }),
+            Outcome::Refused { retry_after, stay } => self.put_refusal(&open.id, retry_after, stay),
+            Outcome::Failed { overdue: false } => self.put_error(&open.id, FAILED, "failed", ""),
+            Outcome::Failed { overdue: true } => self.put_error(&open.id, OVERDUE, "out of time", ""),
+        }
+    }
+
+    fn put_refusal(&mut self, id: &[u8], retry_after: Option<Duration>, stay: bool) {
+        let later = retry_after.map(|after| format!("\"later\":{}", after.as_millis().max(1)));
+        let fields = [later, stay.then(|| "\"giveup\":1".to_string())];
+        let fields = fields.into_iter().flatten().collect::<Vec<_>>().join(",");
+        let data = if fields.is_empty() { String::new() } else { format!(",\"data\":{{{fields}}}") };
+        self.put_error(id, REFUSED, "not now", &data);
+    }
+
+    fn put_error(&mut self, id: &[u8], code: i32, message: &str, data: &str) {
+        if code != REFUSED && code != FAILED && code != OVERDUE {
+            log!("a front end sent what can't be served: {code} {message}");
+        }
+        self.output.put_slice(b"{\"jsonrpc\":\"2.0\",\"id\":");
+        self.output.put_slice(id);
+        let error = format!(",\"error\":{{\"code\":{code},\"message\":\"{message}\"{data}}}}}\n");
+        self.output.put_slice(error.as_bytes());
+    }
+}
+
+/// A word that the links can carry.
+fn is_word(text: &str) -> bool {
+    (1..=64).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic())
+}
+
+fn put_result(output: &mut BytesMut, id: &[u8], result: impl FnOnce(&mut BytesMut)) {
+    output.put_slice(b"{\"jsonrpc\":\"2.0\",\"id\":");
+    output.put_slice(id);
+    output.put_slice(b",\"result\":");
+    result(output);
+    output.put_slice(b"}\n");
+}
--- /dev/null
+++ b/node/src/fronts/mod.rs
@@ -0,0 +1,3 @@
+//! The server side: what clients speak to.
+
+pub mod jsonrpc;
