--- a/node/src/backends/index.rs
+++ b/node/src/backends/index.rs
@@ -43,7 +43,7 @@
     /// Makes calls for as long as there are any to come.
     pub async fn run(mut self) {
         while let Some(command) = self.commands.recv().await {
-            let CallCommand::Call { txn, .. } = &command else { continue };
+            let CallCommand::Call { request, .. } = &command else { continue };
             let link = match self.address {
                 Some(address) => TcpStream::connect(address).await,
                 None => Err(io::ErrorKind::AddrNotAvailable.into()),
@@ -53,7 +53,7 @@
                 Err(e) => {
                     log!("index: no connection: {e}");
                     let end = unreached(&e);
-                    self.exchange.report(Report::CallEnded(txn.clone(), end)).await;
+                    self.exchange.report(Report::CallEnded(request.txn.clone(), end)).await;
                     continue;
                 }
             };
@@ -105,7 +105,8 @@
 
     fn commanded(&mut self, command: CallCommand, link: &mut Link) {
         match command {
-            CallCommand::Call { txn, body, until, .. } => {
+            CallCommand::Call { request, body, until } => {
+                let txn = request.txn.clone();
                 let left = until.saturating_sub(clock::now()).as_millis().max(1).to_string();
                 put(&mut link.output, &[b"GET", &txn, left.as_bytes()], Some(&body));
                 self.calls.insert(txn, until + SILENT);
--- a/node/src/backends/interpreter.rs
+++ b/node/src/backends/interpreter.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::{self, Write};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
@@ -12,7 +13,7 @@
 
 use super::lines::{self, Link, Message};
 use crate::clock::{self, Unix};
-use crate::exchange::{End, Exchange, Report, RunCommand};
+use crate::exchange::{End, Exchange, Report, Request, RunCommand};
 use crate::log;
 
 /// Between two attempts at a link.
@@ -24,8 +25,7 @@
 
 /// A run from its command to its end.
 struct Run {
-    class: u16,
-    body: Bytes,
+    request: Rc<Request>,
     /// The notice of the call it waits for, and what it was told to go on with; void after the next notice.
     awaits: u64,
     goes_on: Option<GoesOn>,
@@ -132,7 +132,14 @@
                     self.noticed(notice, message).await?;
                 }
             }
-            b"ERROR" => log!("interpreter: not carried out: {:?} {:?}", message.word(1), message.word(2)),
+            b"ERROR" => {
+                let (command, txn) = (message.word(1), message.word(2));
+                log!("interpreter: not carried out: {command:?} {txn:?}");
+                // What was not carried out never ran, and its caller is owed an answer all the same.
+                if command == "APPLY" && self.runs.remove(&txn).is_some() {
+                    self.exchange.report(Report::Ended(txn, End::NeverRan)).await;
+                }
+            }
             _ => return Err(message.nonsense().into()),
         }
         Ok(false)
@@ -190,9 +197,9 @@
     /// Keeps what a command changes, for as long as its effect has not been read.
     fn note(&mut self, command: &RunCommand) {
         let (txn, change): (&Bytes, fn(&mut Run, &RunCommand)) = match command {
-            RunCommand::Run { txn, class, body, .. } => {
-                let run = Run { class: *class, body: body.clone(), awaits: 0, goes_on: None, stopped: false };
-                self.runs.insert(txn.clone(), run);
+            RunCommand::Run(request) => {
+                let run = Run { request: request.clone(), awaits: 0, goes_on: None, stopped: false };
+                self.runs.insert(request.txn.clone(), run);
                 return;
             }
             RunCommand::Gauges => return,
@@ -216,7 +223,7 @@
         }
         match command {
             RunCommand::Gauges => output.put_slice(b"TOP g\r\n"),
-            RunCommand::Run { txn, .. } => self.apply(txn, output),
+            RunCommand::Run(request) => self.apply(&request.txn, output),
             RunCommand::Stop(txn) => self.stop(txn, output),
             RunCommand::Resolve(txn, _) | RunCommand::Skip(txn) => self.go_on(txn, output),
         }
@@ -233,8 +240,8 @@
 
     fn apply(&self, txn: &Bytes, output: &mut BytesMut) {
         let Some(run) = self.runs.get(txn) else { return };
-        let class = self.classes.get(usize::from(run.class)).map_or("", String::as_str);
-        put(output, &[b"APPLY", txn, class.as_bytes()], Some(&run.body));
+        let class = self.classes.get(usize::from(run.request.class)).map_or("", String::as_str);
+        put(output, &[b"APPLY", txn, class.as_bytes()], Some(&run.request.body));
     }
 
     fn stop(&self, txn: &Bytes, output: &mut BytesMut) {
--- a/node/src/backends/mod.rs
+++ b/node/src/backends/mod.rs
@@ -3,3 +3,4 @@
 pub mod index;
 pub mod interpreter;
 mod lines;
+pub mod uwsgi;
--- /dev/null
+++ b/node/src/backends/uwsgi.rs
@@ -0,0 +1,297 @@
+//! uwsgi servers that run requests or take their calls, one connection for each. What a server refuses with
+//! 503 and Retry-After never ran; so did what no server could be connected for.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use swiftwinch_settings::Parsed;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::task::{AbortHandle, JoinSet};
+
+use crate::clock::{self, Unix};
+use crate::exchange::{CallCommand, CallEnd, End, Exchange, Report, Request, RunCommand};
+use crate::log;
+use crate::uwsgi::packet;
+
+/// Longest head of a response, and the most fields in it.
+const MAX_HEAD: usize = 16 * 1024;
+const MAX_FIELDS: usize = 64;
+/// Longest body of a response.
+const MAX_BODY: usize = 256 * 1024;
+/// A run is left alone this long after its answer was due: the result may still serve a later try.
+const LATE: Duration = Duration::from_secs(10);
+
+/// How an exchange with a server ended.
+#[derive(Debug, PartialEq)]
+enum Asked {
+    /// It answered with this body, and 2xx.
+    Done(Bytes),
+    /// It answered that it did not begin.
+    Refused,
+    /// It answered that its time ran out.
+    TimedOut,
+    /// It failed, or answered nonsense.
+    Failed,
+    /// The connection broke before a whole answer.
+    CutOff,
+    /// No server could be connected.
+    Unreachable,
+}
+
+/// Servers that stand in for each other, and the names that they are told.
+pub struct Servers {
+    addresses: Vec<SocketAddr>,
+    next: Cell<usize>,
+    classes: Vec<String>,
+    tenants: Vec<String>,
+}
+
+impl Servers {
+    /// The servers at these addresses; classes and tenants go by their names in the settings.
+    pub fn new(addresses: Vec<SocketAddr>, settings: &Parsed) -> Rc<Self> {
+        let (classes, tenants) = (settings.classes.clone(), settings.tenants.clone());
+        Rc::new(Servers { addresses, next: Cell::new(0), classes, tenants })
+    }
+
+    /// A connection to the first server, in turn, that takes one. A failed one proves that nothing ran.
+    async fn connect(&self) -> Option<TcpStream> {
+        let first = self.next.get();
+        self.next.set(first.wrapping_add(1));
+        for turn in 0..self.addresses.len() {
+            let address = self.addresses[first.wrapping_add(turn) % self.addresses.len()];
+            match TcpStream::connect(address).await {
+                Ok(stream) => return Some(stream),
+                Err(e) => log!("uwsgi server {address}: no connection: {e}"),
+            }
+        }
+        None
+    }
+
+    async fn ask(self: Rc<Self>, request: Rc<Request>, body: Bytes, until: Unix) -> Asked {
+        let mut stream = tokio::select! {
+            stream = self.connect() => match stream {
+                Some(stream) => stream,
+                None => return Asked::Unreachable,
+            },
+            () = clock::until(until) => return Asked::Unreachable,
+        };
+        let Some(packet) = self.packet(&request, body.len(), until) else {
+            log!("uwsgi: request {:?} does not fit a packet", request.txn);
+            return Asked::Unreachable;
+        };
+        tokio::select! {
+            answer = converse(&mut stream, &packet, &body) => answer.unwrap_or_else(|e| {
+                log!("uwsgi server {:?}: {e}", stream.peer_addr().ok());
+                if e.kind() == io::ErrorKind::InvalidData { Asked::Failed } else { Asked::CutOff }
+            }),
+            () = clock::until(until) => Asked::TimedOut,
+        }
+    }
+
+    fn packet(&self, request: &Request, length: usize, until: Unix) -> Option<BytesMut> {
+        let class = self.classes.get(usize::from(request.class)).map_or("", String::as_str);
+        let tenant = self.tenants.get(usize::from(request.tenant));
+        let (path, length) = (format!("/{class}"), length.to_string());
+        let deadline = until.as_millis().to_string();
+        let mut vars: Vec<(&str, &[u8])> = vec![
+            ("REQUEST_METHOD", b"POST"),
+            ("REQUEST_URI", path.as_bytes()),
+            ("PATH_INFO", path.as_bytes()),
+            ("QUERY_STRING", b""),
+            ("SERVER_PROTOCOL", b"HTTP/1.1"),
+            ("CONTENT_LENGTH", length.as_bytes()),
+            ("HTTP_X_REQUEST_ID", &request.txn),
+            ("HTTP_X_DEADLINE", deadline.as_bytes()),
+        ];
+        vars.extend(request.key.as_ref().map(|key| ("HTTP_IDEMPOTENCY_KEY", &key[..])));
+        vars.extend(tenant.map(|tenant| ("HTTP_X_TENANT", tenant.as_bytes())));
+        packet(&vars)
+    }
+}
+
+async fn converse(stream: &mut TcpStream, packet: &[u8], body: &[u8]) -> io::Result<Asked> {
+    stream.write_all(packet).await?;
+    stream.write_all(body).await?;
+    let mut input = BytesMut::with_capacity(8 * 1024);
+    let (head, status, length, retry) = loop {
+        if let Some(head) = parse_head(&input)? {
+            break head;
+        }
+        if input.len() > MAX_HEAD {
+            return Err(nonsense("a head without an end"));
+        }
+        if stream.read_buf(&mut input).await? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+    };
+    let _ = input.split_to(head);
+    while length.is_none_or(|length| input.len() < length) {
+        if input.len() > MAX_BODY {
+            return Err(nonsense("a body that is too long"));
+        }
+        if stream.read_buf(&mut input).await? == 0 {
+            if length.is_some() {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            break;
+        }
+    }
+    input.truncate(length.unwrap_or(input.len()));
+    Ok(match status {
+        200..=299 => Asked::Done(input.freeze()),
+        503 if retry => Asked::Refused,
+        504 => Asked::TimedOut,
+        _ => Asked::Failed,
+    })
+}
+
+/// The head's length, the status, the body's length and whether there is a Retry-After.
+type ResponseHead = (usize, u16, Option<usize>, bool);
+
+fn parse_head(input: &[u8]) -> io::Result<Option<ResponseHead>> {
+    let mut fields = [httparse::EMPTY_HEADER; MAX_FIELDS];
+    let mut response = httparse::Response::new(&mut fields);
+    let head = match response.parse(input).map_err(|e| nonsense(&e.to_string()))? {
+        httparse::Status::Complete(head) => head,
+        httparse::Status::Partial => return Ok(None),
+    };
+    let field = |name: &str| response.headers.iter().find(|f| f.name.eq_ignore_ascii_case(name));
+    if field("Transfer-Encoding").is_some() {
+        return Err(nonsense("a transfer encoding, which uwsgi servers do not use"));
+    }
+    let length = match field("Content-Length") {
+        None => None,
+        Some(field) => {
+            let length = std::str::from_utf8(field.value).ok().and_then(|text| text.trim().parse().ok());
+            Some(
+                length
+                    .filter(|l| *l <= MAX_BODY)
+                    .ok_or_else(|| nonsense("a length that is none, or too long"))?,
+            )
+        }
+    };
+    Ok(Some((head, response.code.unwrap_or(0), length, field("Retry-After").is_some())))
+}
+
+fn nonsense(what: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, what)
+}
+
+/// Exchanges under way, by the request that each is for.
+#[derive(Default)]
+struct UnderWay {
+    tasks: JoinSet<(Bytes, Asked)>,
+    handles: HashMap<Bytes, AbortHandle>,
+}
+
+impl UnderWay {
+    fn begin(&mut self, txn: Bytes, asked: impl std::future::Future<Output = Asked> + 'static) {
+        self.give_up(&txn);
+        let named = txn.clone();
+        let handle = self.tasks.spawn_local(async move { (named, asked.await) });
+        self.handles.insert(txn, handle);
+    }
+
+    /// Closes the connection of an exchange; false if there is none.
+    fn give_up(&mut self, txn: &Bytes) -> bool {
+        self.handles.remove(txn).map(|handle| handle.abort()).is_some()
+    }
+
+    /// The next exchange that ended; never if none is under way.
+    async fn next(&mut self) -> (Bytes, Asked) {
+        loop {
+            match self.tasks.join_next_with_id().await {
+                Some(Ok((id, (txn, asked)))) => {
+                    // What was given up meanwhile has ended already.
+                    if self.handles.get(&txn).is_some_and(|handle| handle.id() == id) {
+                        self.handles.remove(&txn);
+                        return (txn, asked);
+                    }
+                }
+                Some(Err(_)) => {}
+                None => std::future::pending().await,
+            }
+        }
+    }
+}
+
+/// Runs requests on uwsgi servers, in the interpreter's place.
+pub async fn run(servers: Rc<Servers>, exchange: Exchange, mut commands: mpsc::Receiver<RunCommand>) {
+    let mut under_way = UnderWay::default();
+    exchange.report(Report::Up { cold: false }).await;
+    loop {
+        tokio::select! {
+            command = commands.recv() => match command {
+                None => return,
+                Some(RunCommand::Run(request)) => {
+                    let (txn, body, until) = (request.txn.clone(), request.body.clone(), request.due + LATE);
+                    under_way.begin(txn, servers.clone().ask(request, body, until));
+                }
+                Some(RunCommand::Stop(txn)) => {
+                    if under_way.give_up(&txn) {
+                        exchange.report(Report::Ended(txn, End::Aborted)).await;
+                    }
+                }
+                // These servers make their own calls, and nobody measures their cores.
+                Some(RunCommand::Resolve(..) | RunCommand::Skip(_) | RunCommand::Gauges) => {}
+            },
+            (txn, asked) = under_way.next() => {
+                let end = match asked {
+                    Asked::Done(result) => End::Done(result),
+                    Asked::Refused | Asked::Unreachable => End::NeverRan,
+                    Asked::TimedOut | Asked::Failed | Asked::CutOff => End::Crashed,
+                };
+                exchange.report(Report::Ended(txn, end)).await;
+            }
+        }
+    }
+}
+
+/// Makes calls to uwsgi servers, in the index's place.
+pub async fn call(servers: Rc<Servers>, exchange: Exchange, mut commands: mpsc::Receiver<CallCommand>) {
+    let mut under_way = UnderWay::default();
+    loop {
+        tokio::select! {
+            command = commands.recv() => match command {
+                None => return,
+                Some(CallCommand::Call { request, body, until }) => {
+                    under_way.begin(request.txn.clone(), servers.clone().ask(request, body, until));
+                }
+                Some(CallCommand::GiveUp(txn)) => drop(under_way.give_up(&txn)),
+            },
+            (txn, asked) = under_way.next() => {
+                let end = match asked {
+                    Asked::Done(reply) => CallEnd::Ok(reply),
+                    Asked::Refused => CallEnd::Refused,
+                    Asked::TimedOut => CallEnd::TimedOut,
+                    Asked::Failed => CallEnd::Failed,
+                    Asked::CutOff => CallEnd::CutOff,
+                    Asked::Unreachable => CallEnd::Unreachable,
+                };
+                exchange.report(Report::CallEnded(txn, end)).await;
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn heads_of_responses_are_read_and_nonsense_is_named() {
+        let head = b"HTTP/1.1 503 Busy\r\nRetry-After: 1\r\nContent-Length: 2\r\n\r\nno";
+        assert_eq!(parse_head(head).unwrap(), Some((head.len() - 2, 503, Some(2), true)));
+        assert_eq!(parse_head(&head[..30]).unwrap(), None);
+        assert!(parse_head(b"SSH-2.0-hello\r\n").is_err());
+        assert!(parse_head(b"HTTP/1.1 200 OK\r\nContent-Length: many\r\n\r\n").is_err());
+        assert!(parse_head(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").is_err());
+    }
+}
--- a/node/src/clock.rs
+++ b/node/src/clock.rs
@@ -16,8 +16,3 @@
 pub fn until(at: Unix) -> Sleep {
     tokio::time::sleep_until(Instant::now() + at.saturating_sub(now()).min(Duration::from_secs(86_400)))
 }
-
-/// A point in time given in Unix milliseconds.
-pub fn from_millis(ms: u64) -> Unix {
-    Duration::from_millis(ms)
-}
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -5,6 +5,7 @@
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -30,7 +31,7 @@
 
 /// One try of a request, from its reading until it is answered and nothing of it runs.
 struct Try {
-    request: Box<Request>,
+    request: Rc<Request>,
     /// The right to answer; used up by the answer, void when the caller has gone.
     ticket: Option<Ticket>,
     phase: Phase,
@@ -213,7 +214,7 @@
         }
     }
 
-    fn submitted(&mut self, request: Box<Request>, ticket: Ticket) {
+    fn submitted(&mut self, request: Rc<Request>, ticket: Ticket) {
         // Guards against an id that is used twice while it is open: the links could not tell the two apart.
         if self.by_txn.contains_key(&request.txn) {
             log!("request {:?} came again while it is open", request.txn);
@@ -436,11 +437,10 @@
         }
         let Some(taken) = self.tries.get_mut(&id) else { return };
         taken.phase = Phase::Running { since: now };
-        let Request { txn, class, body, due, .. } = &*taken.request;
-        let (txn, class, body, due) = (txn.clone(), *class, body.clone(), *due);
-        if self.ends.runs.try_send(RunCommand::Run { txn: txn.clone(), class, body, due }).is_err() {
+        let request = taken.request.clone();
+        if self.ends.runs.try_send(RunCommand::Run(request.clone())).is_err() {
             log!("no room for one more command to what runs requests");
-            self.run_ended(&txn, End::NeverRan);
+            self.run_ended(&request.txn, End::NeverRan);
         }
     }
 
@@ -457,9 +457,9 @@
         let Some(taken) = self.tries.get_mut(&id) else { return };
         let Phase::AtCall { since, body } = &taken.phase else { return };
         let (since, body) = (*since, body.clone());
-        let (txn, class) = (taken.request.txn.clone(), taken.request.class);
+        let request = taken.request.clone();
         taken.phase = Phase::Calling { since, called: now, body: body.clone() };
-        self.command_call(CallCommand::Call { txn, class, body, until });
+        self.command_call(CallCommand::Call { request, body, until });
     }
 
     /// Gives a request its outcome, if it still lacks one and its caller is there.
@@ -490,7 +490,10 @@
     }
 
     fn command_call(&mut self, command: CallCommand) {
-        let made = if let CallCommand::Call { txn, .. } = &command { Some(txn.clone()) } else { None };
+        let made = match &command {
+            CallCommand::Call { request, .. } => Some(request.txn.clone()),
+            CallCommand::GiveUp(_) => None,
+        };
         if self.ends.calls.try_send(command).is_err() {
             log!("no room for one more command to what makes calls");
             if let Some(txn) = made {
--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -2,6 +2,7 @@
 //! one outcome for each; backends receive what is to be run, stopped and called, and report. No wire is known
 //! here, and every queue is bounded.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -84,7 +85,7 @@
 #[derive(Debug)]
 pub enum Input {
     /// A front read a request.
-    Submitted(Box<Request>, Ticket),
+    Submitted(Rc<Request>, Ticket),
     /// The caller of the request with this id has gone; its ticket is void.
     Gone(Bytes),
     /// A backend reports.
@@ -146,17 +147,8 @@
 /// What the side that runs requests is told.
 #[derive(Debug)]
 pub enum RunCommand {
-    /// Run a request of this class with this body; its caller waits until `due`.
-    Run {
-        /// The request.
-        txn: Bytes,
-        /// The class, by position in the settings.
-        class: u16,
-        /// The body, as it came.
-        body: Bytes,
-        /// When the answer is due.
-        due: Unix,
-    },
+    /// Run a request.
+    Run(Rc<Request>),
     /// Stop a run.
     Stop(Bytes),
     /// The reply to the call that a run waits for.
@@ -173,9 +165,7 @@
     /// Make a call for a request and give it up at `until`.
     Call {
         /// The request.
-        txn: Bytes,
-        /// The class, by position in the settings.
-        class: u16,
+        request: Rc<Request>,
         /// The body that the run gave.
         body: Bytes,
         /// When the call is given up.
@@ -241,7 +231,7 @@
 impl Exchange {
     /// Hands a request to the core; its outcome comes by the ticket.
     pub async fn submit(&self, request: Request, ticket: Ticket) {
-        self.tell(Input::Submitted(Box::new(request), ticket)).await;
+        self.tell(Input::Submitted(Rc::new(request), ticket)).await;
     }
 
     /// The caller has gone and no answer is owed.
--- a/node/src/fronts/jsonrpc.rs
+++ b/node/src/fronts/jsonrpc.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 
+use super::Names;
 use crate::clock::{self, Unix};
 use crate::exchange::{Exchange, Outcome, Request, State, Ticket};
 use crate::log;
@@ -36,17 +37,6 @@
 const FAILED: i32 = -32000;
 const OVERDUE: i32 = -32001;
 
-/// The names that this front's fields go by.
-#[derive(Debug)]
-pub struct Names {
-    /// The classes, in the order of the settings.
-    pub classes: Vec<String>,
-    /// For each class, whether its requests carry a key.
-    pub keyed: Vec<bool>,
-    /// The tenants, in the order of the settings.
-    pub tenants: Vec<String>,
-}
-
 #[derive(Deserialize)]
 struct Envelope<'a> {
     #[serde(borrow, default)]
@@ -263,7 +253,7 @@
                 Ok(())
             }
             class => {
-                let Some(class) = self.names.classes.iter().position(|name| name == class) else {
+                let Some(class) = self.names.class(class) else {
                     return Err(named((METHOD_NOT_FOUND, "no such method")));
                 };
                 // Without an id there is nothing to answer to, so nothing is begun.
@@ -278,7 +268,7 @@
         }
     }
 
-    fn request(&self, class: usize, params: &str, line: &Bytes) -> Result<Request, Problem> {
+    fn request(&self, class: u16, params: &str, line: &Bytes) -> Result<Request, Problem> {
         let params: Params = serde_json::from_str(params)
             .map_err(|_| (INVALID_PARAMS, "a field is missing or of another kind"))?;
         let slice = |text: &Cow<str>| match text {
@@ -287,7 +277,7 @@
         };
         let millis =
             |ms: f64| Duration::try_from_secs_f64(ms / 1e3).map_err(|_| (INVALID_PARAMS, "no such time"));
-        let keyed = self.names.keyed.get(class).copied().unwrap_or(false);
+        let keyed = self.names.keyed(class);
         let key = params.unique.as_ref().filter(|_| keyed).map(slice);
         if keyed && key.is_none() {
             return Err((INVALID_PARAMS, "a request of this class names its unique key"));
@@ -299,8 +289,8 @@
             return Err((INVALID_PARAMS, "ram is above 0"));
         }
         let door = millis(params.door)?;
-        let tenant = self.names.tenants.iter().position(|name| *name == params.team);
-        if tenant.is_none() && !self.names.tenants.is_empty() {
+        let tenant = self.names.tenant(&params.team);
+        if tenant.is_none() && !params.team.is_empty() {
             return Err((INVALID_PARAMS, "no such team"));
         }
         let limit = millis(params.limit.ok_or((INVALID_PARAMS, "limit is missing"))?)?;
@@ -309,8 +299,8 @@
             BASE64.decode(params.content.as_bytes()).map_err(|_| (INVALID_PARAMS, "content is base64"))?;
         Ok(Request {
             txn: slice(&params.txn),
-            class: class as u16,
-            tenant: tenant.unwrap_or(0) as u16,
+            class,
+            tenant: tenant.unwrap_or(0),
             key,
             caller: params.lb,
             hint: params.cpu.map(millis).transpose()?,
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -11,6 +11,8 @@
 mod log;
 mod membership;
 mod serve;
+mod uwsgi;
+mod vrrp;
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -2,25 +2,29 @@
 
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::FutureExt;
-use swiftwinch::Effect;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::sync::Semaphore;
-use tokio::task::LocalSet;
+use tokio::sync::{watch, Semaphore};
+use tokio::task::{spawn_local, LocalSet};
 
-use crate::backends::{index::Index, interpreter::Interpreter};
-use crate::clock;
+use crate::backends::index::Index;
+use crate::backends::interpreter::Interpreter;
+use crate::backends::uwsgi::{self as client, Servers};
 use crate::config::{Config, Uwsgi};
 use crate::core::Core;
-use crate::exchange::{self, Exchange};
-use crate::fronts::jsonrpc;
-use crate::{log, membership};
+use crate::exchange::{self, Exchange, State};
+use crate::fronts::uwsgi::{self, Front, Ids};
+use crate::fronts::{jsonrpc, Names};
+use crate::{clock, log, membership, vrrp};
 
+/// Between two attempts to open the uwsgi listener.
+const REBIND: Duration = Duration::from_millis(100);
 /// Descriptors kept for what is no client's connection: listeners, links, signals and the runtime's own.
 const RESERVED: usize = 24;
 /// The process ends by itself this long before it would be stopped.
@@ -35,44 +39,129 @@
     runtime.block_on(LocalSet::new().run_until(run(config, uwsgi)))
 }
 
-async fn run(config: Config, _uwsgi: Option<Uwsgi>) -> Result<(), String> {
+async fn run(config: Config, uwsgi: Option<Uwsgi>) -> Result<(), String> {
     let (exchange, core, backends) = exchange::new();
-    let listener = bind(config.listen).await?;
-    let names = Rc::new(jsonrpc::Names {
-        classes: config.settings.classes.clone(),
-        keyed: config.settings.settings.classes.iter().map(|c| c.effect == Effect::Keyed).collect(),
-        tenants: config.settings.tenants.clone(),
-    });
-    if let Some(vm) = config.vm {
-        let classes = config.settings.classes.clone();
-        tokio::task::spawn_local(Interpreter::new(vm, exchange.clone(), backends.runs, classes).run());
+    let (runs, calls) = uwsgi.as_ref().map_or((&[][..], &[][..]), |u| (&u.runs[..], &u.calls[..]));
+    let settings = &config.settings;
+    // All that can fail comes before anything is served.
+    let listener = bind("listen", config.listen).await?;
+    let names = Rc::new(Names::new(settings));
+    let connections = config.sockets.saturating_sub(RESERVED).max(4);
+    // With two fronts, neither can use up what the other and the servers need.
+    let (platform, second) =
+        if uwsgi.is_some() { (connections / 2, connections / 4) } else { (connections, 0) };
+    let (platform_room, second_room) = (Arc::new(Semaphore::new(platform)), Arc::new(Semaphore::new(second)));
+    if let Some(uwsgi) = &uwsgi {
+        let ids = Ids::new(config.seed ^ u64::from(clock::now().subsec_nanos()));
+        let front = Rc::new(Front { exchange: exchange.clone(), names: names.clone(), ids });
+        let active = match &uwsgi.vrrp {
+            Some(vrrp) => {
+                let socket =
+                    vrrp::bind(vrrp).await.map_err(|e| format!("vrrp.listen: {}: {e}", vrrp.listen))?;
+                let (told, active) = watch::channel(false);
+                spawn_local(vrrp::run(vrrp.clone(), socket, told, exchange.clone()));
+                active
+            }
+            None => {
+                // A front that can't open is found out now.
+                drop(bind("uwsgi listen", uwsgi.listen).await?);
+                watch::channel(true).1
+            }
+        };
+        spawn_local(while_active(uwsgi.listen, active, exchange.clone(), second_room.clone(), front));
+    }
+    match config.vm.filter(|_| runs.is_empty()) {
+        Some(vm) => {
+            let classes = settings.classes.clone();
+            spawn_local(Interpreter::new(vm, exchange.clone(), backends.runs, classes).run());
+        }
+        None => {
+            let servers = Servers::new(runs.to_vec(), settings);
+            spawn_local(client::run(servers, exchange.clone(), backends.runs));
+        }
+    }
+    if calls.is_empty() {
+        spawn_local(Index::new(config.index, exchange.clone(), backends.calls).run());
+    } else {
+        let servers = Servers::new(calls.to_vec(), settings);
+        spawn_local(client::call(servers, exchange.clone(), backends.calls));
     }
-    tokio::task::spawn_local(Index::new(config.index, exchange.clone(), backends.calls).run());
     if let Some(members) = config.members {
-        tokio::task::spawn_local(membership::report(config.name.clone(), members, exchange.clone()));
+        spawn_local(membership::report(config.name.clone(), members, exchange.clone()));
     }
-    tokio::task::spawn_local(Core::new(core, config.settings, config.seed).run());
-    // Half the descriptors are a front's at most, so that a crowd of connections leaves room for the rest.
-    let connections = config.sockets.saturating_sub(RESERVED).max(1);
-    let room = Arc::new(Semaphore::new(connections));
+    spawn_local(Core::new(core, config.settings, config.seed).run());
+    log!("{} serves JSON-RPC at {}", config.name, address(&listener));
     let front = {
         let exchange = exchange.clone();
-        accept(listener, exchange.clone(), room.clone(), move |stream| {
-            jsonrpc::serve(stream, exchange.clone(), names.clone())
-        })
+        move |stream| jsonrpc::serve(stream, exchange.clone(), names.clone())
     };
-    tokio::task::spawn_local(front);
-    log!("{} serves JSON-RPC at {}", config.name, config.listen);
+    let open = exchange.state();
+    spawn_local(accept(listener, while_open(open), platform_room.clone(), front));
     notice().await.map_err(|e| format!("no signals: {e}"))?;
     let stop = clock::now() + config.stop;
     exchange.drain(stop).await;
-    drained(&exchange, stop, room.acquire_many(connections as u32)).await;
+    let closed = async {
+        let _ = platform_room.acquire_many(platform as u32).await;
+        let _ = second_room.acquire_many(second as u32).await;
+    };
+    drained(&exchange, stop, closed).await;
     log!("{} has drained", config.name);
     Ok(())
 }
 
-async fn bind(address: std::net::SocketAddr) -> Result<TcpListener, String> {
-    TcpListener::bind(address).await.map_err(|e| format!("listen: {address}: {e}"))
+async fn bind(key: &str, address: SocketAddr) -> Result<TcpListener, String> {
+    TcpListener::bind(address).await.map_err(|e| format!("{key}: {address}: {e}"))
+}
+
+/// Where a listener listens, with the port that the system chose for 0.
+fn address(listener: &TcpListener) -> String {
+    listener.local_addr().map_or_else(|e| e.to_string(), |address| address.to_string())
+}
+
+/// Ends once requests are read no more.
+async fn while_open(mut state: watch::Receiver<State>) {
+    let _ = state.wait_for(|state| !state.open).await;
+}
+
+/// Serves uwsgi whenever this node is active. What was read when it no longer is, is still answered.
+async fn while_active(
+    listen: SocketAddr,
+    mut active: watch::Receiver<bool>,
+    exchange: Exchange,
+    room: Arc<Semaphore>,
+    front: Rc<Front>,
+) {
+    let mut leaves = exchange.state();
+    loop {
+        tokio::select! {
+            () = while_open(exchange.state()) => return,
+            became = active.wait_for(|active| *active) => {
+                // Without a virtual router the sender is gone, and the last word holds.
+                if became.is_err() {
+                    return;
+                }
+            }
+        }
+        let Ok(listener) = bind("uwsgi listen", listen).await.inspect_err(|e| log!("{e}")) else {
+            // Who was active before may hold the address for a moment.
+            tokio::select! {
+                () = clock::until(clock::now() + REBIND) => continue,
+                _ = leaves.wait_for(|state| !state.open) => return,
+            }
+        };
+        log!("uwsgi is served at {}", address(&listener));
+        let mut active = active.clone();
+        let until = async {
+            tokio::select! {
+                () = while_open(exchange.state()) => {}
+                // An error means that there is no virtual router to lose the role.
+                Ok(_) = active.wait_for(|active| !*active) => {}
+            }
+        };
+        let front = front.clone();
+        accept(listener, until, room.clone(), move |stream| uwsgi::serve(stream, front.clone())).await;
+        log!("uwsgi is no longer served at {listen}");
+    }
 }
 
 /// Waits for the notice to leave.
@@ -100,17 +189,17 @@
     }
 }
 
-/// Accepts connections while requests are read, no more at a time than there is room for.
-pub async fn accept<F: Future<Output = ()> + 'static>(
+/// Accepts connections until then, no more at a time than there is room for.
+async fn accept<F: Future<Output = ()> + 'static>(
     listener: TcpListener,
-    exchange: Exchange,
+    until: impl Future<Output = ()>,
     room: Arc<Semaphore>,
     serve: impl Fn(TcpStream) -> F,
 ) {
-    let mut state = exchange.state();
+    tokio::pin!(until);
     let start = |stream, room| {
         let served = serve(stream);
-        tokio::task::spawn_local(async move {
+        spawn_local(async move {
             served.await;
             drop(room);
         });
@@ -122,7 +211,7 @@
         };
         let accepted = tokio::select! {
             accepted = accepted => accepted,
-            _ = state.wait_for(|state| !state.open) => break,
+            () = &mut until => break,
         };
         match accepted {
             Ok((stream, room)) => start(stream, room),
--- /dev/null
+++ b/node/src/vrrp/packet.rs
@@ -0,0 +1,147 @@
+//! The one packet of VRRP version 3, for IPv4.
+
+use std::fmt;
+use std::net::Ipv4Addr;
+use std::time::Duration;
+
+const VERSION: u8 = 3;
+const ADVERTISEMENT: u8 = 1;
+const HEAD: usize = 8;
+/// The unit of intervals.
+const CENTISECOND: u64 = 10;
+
+/// An advertisement.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Advertisement {
+    /// The virtual router.
+    pub vrid: u8,
+    /// The sender's priority; 0 gives the role up.
+    pub priority: u8,
+    /// Between two of the sender's advertisements.
+    pub interval: Duration,
+    /// The addresses of the virtual router.
+    pub addresses: Vec<Ipv4Addr>,
+}
+
+/// Why a packet is dropped.
+#[derive(Debug, PartialEq, Eq)]
+pub enum Malformed {
+    /// Shorter than its head or than its addresses need.
+    Short,
+    /// Not version 3.
+    Version(u8),
+    /// Not an advertisement.
+    Kind(u8),
+    /// Damaged on the way.
+    Checksum,
+    /// It stands for no address, or has bytes beyond its last one.
+    Addresses,
+}
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Malformed::Short => write!(f, "a packet cut short"),
+            Malformed::Version(version) => write!(f, "version {version}, not 3"),
+            Malformed::Kind(kind) => write!(f, "a packet of the unknown type {kind}"),
+            Malformed::Checksum => write!(f, "a wrong checksum"),
+            Malformed::Addresses => write!(f, "a wrong number of addresses"),
+        }
+    }
+}
+
+impl Advertisement {
+    /// The packet's bytes.
+    pub fn bytes(&self) -> Vec<u8> {
+        let centiseconds = (self.interval.as_millis() as u64 / CENTISECOND).min(0xfff) as u16;
+        let mut bytes =
+            vec![VERSION << 4 | ADVERTISEMENT, self.vrid, self.priority, self.addresses.len() as u8];
+        bytes.extend(centiseconds.to_be_bytes());
+        bytes.extend([0, 0]);
+        for address in &self.addresses {
+            bytes.extend(address.octets());
+        }
+        let sum = checksum(&bytes);
+        bytes[6..8].copy_from_slice(&sum.to_be_bytes());
+        bytes
+    }
+
+    /// Reads a packet, as section 7.1 asks, so far as that can be seen in the packet itself.
+    pub fn parse(bytes: &[u8]) -> Result<Self, Malformed> {
+        let Some([first, vrid, priority, count, high, low, ..]) = bytes.first_chunk::<HEAD>().copied() else {
+            return Err(Malformed::Short);
+        };
+        if first >> 4 != VERSION {
+            return Err(Malformed::Version(first >> 4));
+        }
+        if first & 0xf != ADVERTISEMENT {
+            return Err(Malformed::Kind(first & 0xf));
+        }
+        let addresses = &bytes[HEAD..];
+        if addresses.len() < 4 * usize::from(count) {
+            return Err(Malformed::Short);
+        }
+        if checksum(bytes) != 0 {
+            return Err(Malformed::Checksum);
+        }
+        if count == 0 || addresses.len() > 4 * usize::from(count) {
+            return Err(Malformed::Addresses);
+        }
+        let centiseconds = u64::from(u16::from_be_bytes([high, low]) & 0xfff);
+        let addresses = addresses.chunks_exact(4).map(|a| Ipv4Addr::new(a[0], a[1], a[2], a[3])).collect();
+        Ok(Advertisement {
+            vrid,
+            priority,
+            interval: Duration::from_millis(centiseconds * CENTISECOND),
+            addresses,
+        })
+    }
+}
+
+/// The one's complement of the one's complement sum, over the message alone as the RFC has it for IPv4.
+fn checksum(bytes: &[u8]) -> u16 {
+    let words = bytes.chunks(2).map(|pair| u32::from(pair[0]) << 8 | u32::from(*pair.get(1).unwrap_or(&0)));
+    let mut sum: u32 = words.sum();
+    while sum > 0xffff {
+        sum = (sum & 0xffff) + (sum >> 16);
+    }
+    !(sum as u16)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn usual() -> Advertisement {
+        let addresses = vec![Ipv4Addr::new(127, 0, 1, 1), Ipv4Addr::new(127, 0, 1, 2)];
+        Advertisement { vrid: 51, priority: 100, interval: Duration::from_secs(1), addresses }
+    }
+
+    #[test]
+    fn its_bytes_are_those_of_the_rfc() {
+        let one = Advertisement { addresses: vec![Ipv4Addr::new(127, 0, 1, 1)], ..usual() };
+        // The sum of 3133 6401 0064 7f00 0101 is 0x11599, folded 0x159a, and its complement is ea65.
+        assert_eq!(one.bytes(), [0x31, 51, 100, 1, 0, 100, 0xea, 0x65, 127, 0, 1, 1]);
+        assert_eq!(Advertisement::parse(&usual().bytes()), Ok(usual()));
+    }
+
+    #[test]
+    fn bad_packets_are_told_apart() {
+        let good = usual().bytes();
+        let with = |at: usize, byte: u8| {
+            let mut bytes = good.clone();
+            bytes[at] = byte;
+            Advertisement::parse(&bytes)
+        };
+        assert_eq!(with(0, 0x21), Err(Malformed::Version(2)));
+        assert_eq!(with(0, 0x32), Err(Malformed::Kind(2)));
+        assert_eq!(with(2, 101), Err(Malformed::Checksum));
+        assert_eq!(with(3, 3), Err(Malformed::Short));
+        assert_eq!(Advertisement::parse(&good[..7]), Err(Malformed::Short));
+        assert_eq!(Advertisement::parse(&[]), Err(Malformed::Short));
+        let none = Advertisement { addresses: vec![], ..usual() };
+        assert_eq!(Advertisement::parse(&none.bytes()), Err(Malformed::Addresses));
+        let longer = [&good[..], &[0, 0, 0, 0]].concat();
+        assert_eq!(Advertisement::parse(&longer), Err(Malformed::Addresses));
+    }
+}
