Guard times against overflow and clocks that run ahead; test keys and idle closes

Found by reading: a limit of 1e22 ms overflowed a sum of times where uwsgi servers run the requests, a door in the future would have freed a key too early, and a VRRP interval of 0 made a backup flap. Each has its test.

--- a/node/src/core/keys.rs
+++ b/node/src/core/keys.rs
@@ -145,3 +145,70 @@
         });
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const A: RequestId = RequestId(1);
+    const B: RequestId = RequestId(2);
+
+    fn at(seconds: u64) -> Unix {
+        Duration::from_secs(seconds)
+    }
+
+    fn key() -> Key {
+        (1, Bytes::from_static(b"k"))
+    }
+
+    /// A came at 100 s and holds its key until 117 s.
+    fn keys() -> Keys {
+        let mut keys = Keys::default();
+        assert_eq!(keys.arrived(key(), at(100)), None);
+        keys.remember(key(), A, at(117));
+        keys.batch_over();
+        keys
+    }
+
+    #[test]
+    fn what_came_in_an_entrys_time_is_linked_to_it_however_late_it_is_read() {
+        let mut keys = keys();
+        keys.sweep(at(120));
+        assert_eq!(keys.arrived(key(), at(117)), Some(A));
+        assert_eq!(keys.arrived(key(), at(118)), None, "that is a new request");
+        let mut keys = self::keys();
+        keys.sweep(at(126));
+        assert_eq!(keys.arrived(key(), at(117)), None, "nothing is kept for ever");
+    }
+
+    #[test]
+    fn one_try_of_a_key_runs_and_the_others_get_what_became_of_it() {
+        let mut keys = keys();
+        assert!(keys.may_run(&key(), A));
+        assert!(!keys.may_run(&key(), B));
+        assert_eq!(keys.join(&key(), B), None);
+        let kept = Kept::Done(Bytes::from_static(b"job"));
+        assert_eq!(keys.ended(A, kept.clone()), [B]);
+        assert_eq!(keys.join(&key(), B), Some(kept));
+    }
+
+    #[test]
+    fn a_run_that_never_began_frees_its_key() {
+        let mut keys = keys();
+        assert!(keys.may_run(&key(), A));
+        assert_eq!(keys.ended(A, Kept::NeverRan), []);
+        assert_eq!(keys.arrived(key(), at(101)), None);
+        assert!(keys.may_run(&key(), B));
+    }
+
+    #[test]
+    fn a_key_passes_to_a_newer_try_and_is_seen_in_its_batch() {
+        let mut keys = keys();
+        assert!(!keys.in_batch(&key()));
+        assert_eq!(keys.arrived(key(), at(101)), Some(A));
+        assert!(keys.in_batch(&key()));
+        keys.remember(key(), B, at(118));
+        keys.forget(A);
+        assert_eq!(keys.arrived(key(), at(102)), Some(B), "A has nothing left to give up");
+    }
+}
--- a/node/src/fronts/jsonrpc.rs
+++ b/node/src/fronts/jsonrpc.rs
@@ -29,6 +29,9 @@
 /// A connection that was told to take nothing new and stays idle is closed after this long.
 const LINGER: Duration = Duration::from_secs(1);
 
+/// No caller waits longer than this. Guards sums of times against overflow.
+const FOREVER: Duration = Duration::from_secs(86_400);
+
 const PARSE_ERROR: i32 = -32700;
 const INVALID_REQUEST: i32 = -32600;
 const METHOD_NOT_FOUND: i32 = -32601;
@@ -292,7 +295,9 @@
         if !(params.ram > 0.0 && params.ram.is_finite()) {
             return Err((INVALID_PARAMS, "ram is above 0"));
         }
-        let door = millis(params.door)?;
+        // Guards the table of keys against a clock that runs ahead: what came later than an entry ended is new.
+        let now = clock::now();
+        let door = millis(params.door)?.min(now);
         let tenant = self.names.tenant(&params.team);
         if tenant.is_none() && !params.team.is_empty() {
             return Err((INVALID_PARAMS, "no such team"));
@@ -311,7 +316,7 @@
             kb: params.ram,
             rank: params.standing.clamp(0.0, 1.0),
             door,
-            due: door.saturating_add(limit),
+            due: door.saturating_add(limit).min(now + FOREVER),
             body: body.into(),
         })
     }
--- a/node/src/fronts/uwsgi.rs
+++ b/node/src/fronts/uwsgi.rs
@@ -177,9 +177,11 @@
             // No position in the list, so it counts to no share.
             None => u16::MAX,
         };
-        let latest = now + self.names.deadline(class);
+        let most = self.names.deadline(class);
+        let latest = now + most;
         let deadline = number(vars, "HTTP_X_DEADLINE")?.map(Duration::from_millis);
-        let hint = number(vars, "HTTP_X_COST")?.map(Duration::from_millis);
+        // Guards the mean of the hints, and so everyone's estimates, against one absurd hint.
+        let hint = number(vars, "HTTP_X_COST")?.map(|ms| Duration::from_millis(ms).min(most));
         let kb = number(vars, "HTTP_X_RAM")?.map_or(USUAL_KB, |kb| kb as f64);
         Ok(Asked::Run(Request {
             txn: self.ids.next(),
--- a/node/src/vrrp/packet.rs
+++ b/node/src/vrrp/packet.rs
@@ -36,6 +36,8 @@
     Checksum,
     /// It stands for no address, or has bytes beyond its last one.
     Addresses,
+    /// No time between two advertisements.
+    Interval,
 }
 
 impl fmt::Display for Malformed {
@@ -45,6 +47,7 @@
             Malformed::Version(version) => write!(f, "version {version}, not 3"),
             Malformed::Kind(kind) => write!(f, "a packet of the unknown type {kind}"),
             Malformed::Checksum => write!(f, "a wrong checksum"),
+            Malformed::Interval => write!(f, "an interval of 0"),
             Malformed::Addresses => write!(f, "a wrong number of addresses"),
         }
     }
@@ -88,6 +91,10 @@
             return Err(Malformed::Addresses);
         }
         let centiseconds = u64::from(u16::from_be_bytes([high, low]) & 0xfff);
+        // Guards the timers of who believes it: after no time at all the active router would count as down.
+        if centiseconds == 0 {
+            return Err(Malformed::Interval);
+        }
         let addresses = addresses.chunks_exact(4).map(|a| Ipv4Addr::new(a[0], a[1], a[2], a[3])).collect();
         Ok(Advertisement {
             vrid,
@@ -141,6 +148,8 @@
         assert_eq!(Advertisement::parse(&[]), Err(Malformed::Short));
         let none = Advertisement { addresses: vec![], ..usual() };
         assert_eq!(Advertisement::parse(&none.bytes()), Err(Malformed::Addresses));
+        let hasty = Advertisement { interval: Duration::ZERO, ..usual() };
+        assert_eq!(Advertisement::parse(&hasty.bytes()), Err(Malformed::Interval));
         let longer = [&good[..], &[0, 0, 0, 0]].concat();
         assert_eq!(Advertisement::parse(&longer), Err(Malformed::Addresses));
     }
--- a/node/tests/sockets/jsonrpc.rs
+++ b/node/tests/sockets/jsonrpc.rs
@@ -121,6 +121,38 @@
     assert!(client.closed());
 }
 
+#[test]
+fn times_beyond_all_reason_do_no_harm() {
+    let (node, _vm, mut vm) = Node::with_interpreter("", None);
+    let mut client = node.client();
+    client.say(concat!(
+        r#"{"jsonrpc":"2.0","id":1,"method":"quote","params":{"txn":"a1","door":1e22,"limit":1e22,"ram":1}}"#,
+        "\n",
+        r#"{"jsonrpc":"2.0","id":2,"method":"quote","params":{"txn":"a2","door":1,"limit":1e300,"ram":1}}"#,
+        "\n"
+    ));
+    assert_eq!(vm.apply().0, "a1");
+    assert!(client.line().contains("-32602"));
+    vm.value(1, "a1", "done", "");
+    assert!(client.line().contains("result"));
+}
+
+#[test]
+fn an_idle_connection_is_told_before_it_is_closed() {
+    let vm = Server::new();
+    let text =
+        config(&format!(r#""vm": "{}","#, vm.address)).replace("\"idle\": 30000000", "\"idle\": 100000");
+    let node = Node::start(&text, None);
+    let mut link = vm.interpreter("0");
+    let mut client = node.client();
+    client.request(1, "a1", None, LONG);
+    let (id, ..) = link.apply();
+    link.value(1, &id, "done", "");
+    assert!(client.line().contains("result"));
+    insta::assert_snapshot!(client.line(), @r#"{"jsonrpc":"2.0","method":"draining"}"#);
+    assert!(client.closed());
+}
+
 #[test]
 fn a_node_reports_to_the_membership_service_until_it_leaves() {
     let members = udp("127.0.0.1:0");
