Take a withdrawal by the id of its request, the form that front ends use

Runs for callers who had left went on. Both forms are taken now, and a wrong notification gets no answer, as JSON-RPC has it.

--- a/node/src/fronts/jsonrpc.rs
+++ b/node/src/fronts/jsonrpc.rs
@@ -32,6 +32,9 @@
 /// No caller waits longer than this. Guards sums of times against overflow.
 const FOREVER: Duration = Duration::from_secs(86_400);
 
+/// Of a line that can't be served, so many bytes are logged.
+const LOGGED: usize = 120;
+
 const PARSE_ERROR: i32 = -32700;
 const INVALID_REQUEST: i32 = -32600;
 const METHOD_NOT_FOUND: i32 = -32601;
@@ -72,12 +75,19 @@
     content: Cow<'a, str>,
 }
 
+/// What a withdrawal is about: the id of the request on this connection, or its txn.
 #[derive(Deserialize)]
 struct Withdrawn<'a> {
-    #[serde(borrow)]
-    txn: Cow<'a, str>,
+    #[serde(borrow, default)]
+    id: Option<&'a RawValue>,
+    #[serde(borrow, default)]
+    txn: Option<Cow<'a, str>>,
 }
 
+/// The id of an error where the request's can't be known, and the mark of what is not to be answered.
+const NO_ID: Bytes = Bytes::from_static(b"null");
+const NO_ANSWER: Bytes = Bytes::new();
+
 /// An error answer: its code and what it says.
 type Problem = (i32, &'static str);
 
@@ -212,7 +222,12 @@
                 continue;
             }
             if let Err((id, (code, message))) = self.take_line(&line).await {
-                self.put_error(&id, code, message, "");
+                let start = line[..line.len().min(LOGGED)].escape_ascii();
+                log!("a front end sent what can't be served: {code} {message}: {start}");
+                // A notification is never answered, but one that can't be told from a request is.
+                if id != NO_ANSWER {
+                    self.put_error(&id, code, message, "");
+                }
             }
         }
         if input.len() > MAX_LINE {
@@ -226,7 +241,6 @@
     }
 
     async fn take_line(&mut self, line: &Bytes) -> Result<(), (Bytes, Problem)> {
-        const NO_ID: Bytes = Bytes::from_static(b"null");
         let envelope: Envelope = serde_json::from_slice(line).map_err(|e| {
             let data = e.classify() == serde_json::error::Category::Data;
             (NO_ID, if data { (INVALID_REQUEST, "not a request") } else { (PARSE_ERROR, "not JSON") })
@@ -236,7 +250,7 @@
             return Err((NO_ID, (INVALID_REQUEST, "not a request")));
         }
         let id = envelope.id.map(|id| line.slice_ref(id.get().as_bytes()));
-        let named = |problem| (id.clone().unwrap_or(NO_ID), problem);
+        let named = |problem| (id.clone().unwrap_or(NO_ANSWER), problem);
         let valid_id = id.as_deref().is_none_or(|id| !matches!(id.first(), Some(b'{' | b'[' | b't' | b'f')));
         let (Some("2.0"), Some(method), true) = (envelope.jsonrpc.as_deref(), &envelope.method, valid_id)
         else {
@@ -254,9 +268,12 @@
                 Ok(())
             }
             "withdraw" => {
-                let withdrawn: Withdrawn = serde_json::from_str(params)
-                    .map_err(|_| named((INVALID_PARAMS, "withdraw names a txn")))?;
-                self.withdraw(withdrawn.txn.as_bytes()).await;
+                let withdrawn: Option<Withdrawn> = serde_json::from_str(params).ok();
+                let withdrawn =
+                    withdrawn.filter(|w| is_object(params.as_bytes()) && (w.id.is_some() || w.txn.is_some()));
+                let withdrawn =
+                    withdrawn.ok_or_else(|| named((INVALID_PARAMS, "withdraw names an id or a txn")))?;
+                self.withdraw(&withdrawn).await;
                 Ok(())
             }
             class => {
@@ -331,10 +348,13 @@
         self.exchange.submit(request, ticket).await;
     }
 
-    async fn withdraw(&mut self, txn: &[u8]) {
-        let Some(tag) = self.open.iter().find(|(_, open)| open.txn == txn).map(|(tag, _)| *tag) else {
-            return;
+    async fn withdraw(&mut self, withdrawn: &Withdrawn<'_>) {
+        let meant = |open: &Open| {
+            withdrawn.id.is_none_or(|id| open.id == id.get().as_bytes())
+                && withdrawn.txn.as_ref().is_none_or(|txn| open.txn == txn.as_bytes())
         };
+        // What was answered meanwhile is no longer open.
+        let Some(tag) = self.open.iter().find(|(_, open)| meant(open)).map(|(tag, _)| *tag) else { return };
         if let Some(open) = self.open.remove(&tag) {
             self.exchange.gone(open.txn).await;
         }
@@ -365,9 +385,6 @@
     }
 
     fn put_error(&mut self, id: &[u8], code: i32, message: &str, data: &str) {
-        if code != REFUSED && code != FAILED && code != OVERDUE {
-            log!("a front end sent what can't be served: {code} {message}");
-        }
         self.output.put_slice(b"{\"jsonrpc\":\"2.0\",\"id\":");
         self.output.put_slice(id);
         let error = format!(",\"error\":{{\"code\":{code},\"message\":\"{message}\"{data}}}}}\n");
--- a/node/tests/sockets/jsonrpc.rs
+++ b/node/tests/sockets/jsonrpc.rs
@@ -49,9 +49,12 @@
     {"jsonrpc":"2.0","id":4,"error":{"code":-32602,"message":"txn is one word"}}
     {"jsonrpc":"2.0","id":5,"error":{"code":-32602,"message":"a request of this class names its unique key"}}
     {"jsonrpc":"2.0","id":6,"error":{"code":-32602,"message":"content is base64"}}
-    {"jsonrpc":"2.0","id":7,"error":{"code":-32602,"message":"withdraw names a txn"}}
+    {"jsonrpc":"2.0","id":7,"error":{"code":-32602,"message":"withdraw names an id or a txn"}}
     {"jsonrpc":"2.0","id":8,"result":{"up":true}}
     "#);
+    // A notification gets no answer, however wrong; the next line shows it.
+    client.say("{\"jsonrpc\":\"2.0\",\"method\":\"withdraw\"}\n{\"jsonrpc\":\"2.0\",\"id\":9,\"method\":\"status\"}\n");
+    assert!(client.line().contains("\"id\":9"));
     client.say("x".repeat(20_000));
     insta::assert_snapshot!(client.rest(), @r#"{"jsonrpc":"2.0","id":null,"error":{"code":-32600,"message":"the line is too long"}}"#);
     node.logs("can't be served");
@@ -86,15 +89,18 @@
 fn a_withdrawn_request_is_stopped_and_a_closed_connection_withdraws_all() {
     let (node, _vm, mut vm) = Node::with_interpreter("", None);
     let mut client = node.client();
-    client.request(1, "a1", None, LONG);
-    vm.apply();
-    client.say("{\"jsonrpc\":\"2.0\",\"method\":\"withdraw\",\"params\":{\"txn\":\"a1\"}}\n");
-    assert_eq!(vm.command().0, ["BREAK", "a1"]);
-    vm.value(1, "a1", "aborted", "");
-    client.request(2, "a2", None, LONG);
+    // Front ends name the id that they gave on this connection; the txn will do, too.
+    for (id, txn, named) in [(1, "a1", r#""id":1"#), (2, "a2", r#""txn":"a2""#)] {
+        client.request(id, txn, None, LONG);
+        vm.apply();
+        client.say(format!("{{\"jsonrpc\":\"2.0\",\"method\":\"withdraw\",\"params\":{{{named}}}}}\n"));
+        assert_eq!(vm.command().0, ["BREAK", txn]);
+        vm.value(id, txn, "aborted", "");
+    }
+    client.request(3, "a3", None, LONG);
     vm.apply();
     drop(client);
-    assert_eq!(vm.command().0, ["BREAK", "a2"]);
+    assert_eq!(vm.command().0, ["BREAK", "a3"]);
 }
 
 #[test]
