Reload the links at SIGHUP, and give each call of the index its own connection

Now the signals are heard before anything else. `Files` reads and checks everything at the start and at each hang-up; the links live in one watch channel that interpreter, index, membership and uwsgi servers follow. A bad file, or one that adds or removes a kind of peer, changes nothing and is logged with its key.

An index connection carries one call at a time, taken from those idle for under 250 ms: with one connection for all, a reload or one spoilt reply ended every call on it, and what it carried was CutOff. The loop and its bound are shared with the uwsgi servers (`backends::call`, `UnderWay`).

The two new tests fail on the sources before this.

--- a/node/src/backends/index.rs
+++ b/node/src/backends/index.rs
@@ -1,148 +1,125 @@
-//! Calls to the tier below, handed to the index on one connection that is made when it is needed.
+//! Calls to the tier below, handed to the index. Each has a connection to itself while it lasts: guards the
+//! others against a reply that is spoilt, late, doubled or never comes, after which its connection is closed.
 
-use std::collections::HashMap;
+use std::cell::RefCell;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::watch;
 
 use super::interpreter::put;
-use super::lines::{self, Link, Message};
+use super::lines::{self, Link};
+use super::Callee;
 use crate::clock::{self, Unix};
-use crate::exchange::{CallCommand, CallEnd, Exchange, Report};
+use crate::config::Links;
+use crate::exchange::{CallEnd, Request};
 use crate::log;
 
-/// An idle connection is given up before the index does so: guards a call against crossing that close, which
-/// would prove nothing about it.
-const IDLE: Duration = Duration::from_secs(8);
+/// A connection is used again only if it has been idle for less. Guards calls against crossing the close of an
+/// idle connection, which would prove nothing about them.
+const IDLE: Duration = Duration::from_millis(250);
+/// Connections that are kept idle.
+const MOST_IDLE: usize = 32;
 /// A call without a reply is given up this long after its time, for the index says itself that it was slow.
 const SILENT: Duration = Duration::from_millis(150);
+/// A reply that has begun is whole after this long, or never.
+const STALLED: Duration = Duration::from_millis(600);
+
+/// A connection with no call on it.
+struct Idle {
+    link: Link,
+    address: SocketAddr,
+    since: Unix,
+    /// The request of the call before. Another call for it goes elsewhere: guards it against a second copy of
+    /// the reply before.
+    last: Bytes,
+}
 
 /// The client side of the index.
 pub struct Index {
-    address: Option<SocketAddr>,
-    exchange: Exchange,
-    commands: mpsc::Receiver<CallCommand>,
-    /// The calls on the connection, and when they are given up.
-    calls: HashMap<Bytes, Unix>,
+    links: watch::Receiver<Links>,
+    /// The last one used comes last.
+    idle: RefCell<Vec<Idle>>,
 }
 
 impl Index {
-    /// The index at this address; without one, no call reaches anybody.
-    pub fn new(
-        address: Option<SocketAddr>,
-        exchange: Exchange,
-        commands: mpsc::Receiver<CallCommand>,
-    ) -> Self {
-        Index { address, exchange, commands, calls: HashMap::new() }
+    /// The index at the address of the day; without one, no call reaches anybody.
+    pub fn new(links: watch::Receiver<Links>) -> Rc<Self> {
+        Rc::new(Index { links, idle: RefCell::default() })
+    }
+
+    /// A connection that can be used again, if there is one.
+    fn kept(&self, address: SocketAddr, txn: &Bytes) -> Option<Link> {
+        let mut idle = self.idle.borrow_mut();
+        let oldest = clock::now().saturating_sub(IDLE);
+        idle.retain(|kept| kept.since > oldest && kept.address == address && kept.link.silent());
+        let fits = idle.iter().rposition(|kept| kept.last != txn)?;
+        Some(idle.remove(fits).link)
+    }
+
+    fn keep(self: &Rc<Self>, link: Link, address: SocketAddr, last: Bytes) {
+        let mut idle = self.idle.borrow_mut();
+        // What comes beside a reply belongs to no call.
+        if !link.input.is_empty() || idle.len() >= MOST_IDLE {
+            return;
+        }
+        idle.push(Idle { link, address, since: clock::now(), last });
     }
 
-    /// Makes calls for as long as there are any to come.
-    pub async fn run(mut self) {
-        while let Some(command) = self.commands.recv().await {
-            let CallCommand::Call { request, .. } = &command else { continue };
-            let link = match self.address {
-                Some(address) => TcpStream::connect(address).await,
-                None => Err(io::ErrorKind::AddrNotAvailable.into()),
-            };
-            let link = match link {
+    async fn ask(self: &Rc<Self>, txn: &Bytes, body: &[u8], until: Unix) -> io::Result<CallEnd> {
+        let Some(address) = self.links.borrow().index else { return Ok(CallEnd::Unreachable) };
+        let mut link = match self.kept(address, txn) {
+            Some(link) => link,
+            None => match TcpStream::connect(address).await {
                 Ok(stream) => Link::new(stream),
+                // A refused connection proves that the call never ran, and so does one that was never made.
                 Err(e) => {
                     log!("index: no connection: {e}");
-                    let end = unreached(&e);
-                    self.exchange.report(Report::CallEnded(request.txn.clone(), end)).await;
-                    continue;
+                    return Ok(CallEnd::Unreachable);
                 }
-            };
-            if let Err(e) = self.linked(link, command).await {
-                log!("index: connection lost with {} calls on it: {e}", self.calls.len());
-            }
-            for txn in std::mem::take(&mut self.calls).into_keys() {
-                self.exchange.report(Report::CallEnded(txn, CallEnd::CutOff)).await;
-            }
-        }
-    }
-
-    async fn linked(&mut self, mut link: Link, first: CallCommand) -> io::Result<()> {
-        let mut used = clock::now();
-        self.commanded(first, &mut link);
+            },
+        };
+        let left = until.saturating_sub(clock::now()).as_millis().max(1).to_string();
+        put(&mut link.output, &[b"GET", txn, left.as_bytes()], Some(body));
+        let mut whole_by = until + SILENT;
         loop {
             while let Some(message) = lines::take(&mut link.input, |words| words.nth(1) == Some(b"HIT"))? {
-                self.heard(message).await?;
-            }
-            let now = clock::now();
-            let silent: Vec<Bytes> =
-                self.calls.iter().filter(|(_, until)| **until <= now).map(|(txn, _)| txn.clone()).collect();
-            for txn in silent {
-                self.give_up(&txn, &mut link);
-                self.exchange.report(Report::CallEnded(txn, CallEnd::TimedOut)).await;
+                let end = match (&message.word(1)[..], &message.body) {
+                    (b"HIT", Some(reply)) => CallEnd::Ok(reply.clone()),
+                    (b"SHED", _) => CallEnd::Refused,
+                    (b"BROKEN", _) => CallEnd::Failed,
+                    (b"SLOW", _) => CallEnd::TimedOut,
+                    (b"NOBODY", _) => CallEnd::Unreachable,
+                    _ => return Err(message.nonsense().into()),
+                };
+                // A reply to another call is nobody's here.
+                if message.word(0) == txn {
+                    self.keep(link, address, txn.clone());
+                    return Ok(end);
+                }
+                log!("index: a reply to {:?}, which is not called for here", message.word(0));
             }
-            if self.calls.is_empty() && link.output.is_empty() && now >= used + IDLE {
-                return Ok(());
+            if !link.input.is_empty() {
+                whole_by = whole_by.min(clock::now() + STALLED);
             }
-            let next = self.calls.values().min().copied().unwrap_or(used + IDLE);
-            let room = link.has_room();
             tokio::select! {
-                biased;
-                turned = link.turn() => match turned {
-                    Err(e) if e.kind() == io::ErrorKind::UnexpectedEof && self.calls.is_empty() => return Ok(()),
-                    turned => turned?,
-                },
-                command = self.commands.recv(), if room => {
-                    used = clock::now();
-                    match command {
-                        Some(command) => self.commanded(command, &mut link),
-                        None => return Ok(()),
-                    }
-                }
-                () = clock::until(next) => {}
+                turned = link.turn() => turned?,
+                () = clock::until(whole_by) => return Ok(CallEnd::TimedOut),
             }
         }
     }
-
-    fn commanded(&mut self, command: CallCommand, link: &mut Link) {
-        match command {
-            CallCommand::Call { request, body, until } => {
-                let txn = request.txn.clone();
-                let left = until.saturating_sub(clock::now()).as_millis().max(1).to_string();
-                put(&mut link.output, &[b"GET", &txn, left.as_bytes()], Some(&body));
-                self.calls.insert(txn, until + SILENT);
-            }
-            CallCommand::GiveUp(txn) => self.give_up(&txn, link),
-        }
-    }
-
-    fn give_up(&mut self, txn: &Bytes, link: &mut Link) {
-        if self.calls.remove(txn).is_some() {
-            put(&mut link.output, &[b"STOP", txn], None);
-        }
-    }
-
-    async fn heard(&mut self, message: Message) -> io::Result<()> {
-        let end = match (&message.word(1)[..], &message.body) {
-            (b"HIT", Some(reply)) => CallEnd::Ok(reply.clone()),
-            (b"SHED", _) => CallEnd::Refused,
-            (b"BROKEN", _) => CallEnd::Failed,
-            (b"SLOW", _) => CallEnd::TimedOut,
-            (b"NOBODY", _) => CallEnd::Unreachable,
-            _ => return Err(message.nonsense().into()),
-        };
-        let txn = message.word(0);
-        // A reply may cross the word that gives its call up.
-        if self.calls.remove(&txn).is_some() {
-            self.exchange.report(Report::CallEnded(txn, end)).await;
-        }
-        Ok(())
-    }
 }
 
-/// What a failed connection proves of a call: a refused one that it never ran.
-fn unreached(error: &io::Error) -> CallEnd {
-    match error.kind() {
-        io::ErrorKind::ConnectionRefused | io::ErrorKind::AddrNotAvailable => CallEnd::Unreachable,
-        _ => CallEnd::CutOff,
+impl Callee for Index {
+    async fn call(self: Rc<Self>, request: Rc<Request>, body: Bytes, until: Unix) -> CallEnd {
+        let ended = self.ask(&request.txn, &body, until).await;
+        ended.unwrap_or_else(|e| {
+            log!("index: a connection was lost with the call on it: {e}");
+            CallEnd::CutOff
+        })
     }
 }
--- a/node/src/backends/interpreter.rs
+++ b/node/src/backends/interpreter.rs
@@ -3,21 +3,21 @@
 
 use std::collections::BTreeMap;
 use std::io::{self, Write};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, watch};
 
 use super::lines::{self, Link, Message};
 use crate::clock::{self, Unix};
+use crate::config::Links;
 use crate::exchange::{End, Exchange, Report, Request, RunCommand};
 use crate::log;
 
-/// Between two attempts at a link.
-const RETRY: Duration = Duration::from_millis(100);
+/// Between two attempts at a link; one that held for longer is made anew at once.
+const RETRY: Duration = Duration::from_millis(50);
 /// The tag of the question whose answer shows that all notices from before it have been read.
 const FENCE: &[u8] = b"fence";
 /// A start that is this much later than the one known is another one.
@@ -32,6 +32,14 @@
     stopped: bool,
 }
 
+/// Why a link that did not break is over.
+enum Over {
+    /// There are no commands to come.
+    Commands,
+    /// The interpreter is at another address.
+    Address,
+}
+
 enum GoesOn {
     Reply(Bytes),
     Without,
@@ -39,7 +47,7 @@
 
 /// The client side of the interpreter.
 pub struct Interpreter {
-    address: SocketAddr,
+    links: watch::Receiver<Links>,
     exchange: Exchange,
     commands: mpsc::Receiver<RunCommand>,
     classes: Vec<String>,
@@ -50,52 +58,53 @@
 }
 
 impl Interpreter {
-    /// The link to the interpreter at this address, where classes have these names.
+    /// The link to the interpreter at the address of the day, where classes have these names.
     pub fn new(
-        address: SocketAddr,
+        links: watch::Receiver<Links>,
         exchange: Exchange,
         commands: mpsc::Receiver<RunCommand>,
         classes: Vec<String>,
     ) -> Self {
-        Interpreter { address, exchange, commands, classes, runs: BTreeMap::new(), read: 0, started: None }
+        Interpreter { links, exchange, commands, classes, runs: BTreeMap::new(), read: 0, started: None }
     }
 
     /// Holds the link for as long as there are commands to come.
     pub async fn run(mut self) {
         loop {
-            let stream = match self.unlinked(TcpStream::connect(self.address)).await {
-                Some(Ok(stream)) => stream,
+            let Some(address) = self.links.borrow_and_update().vm else { return };
+            let begun = clock::now();
+            match self.unlinked(TcpStream::connect(address)).await {
+                Some(Some(Ok(stream))) => match self.linked(Link::new(stream)).await {
+                    Ok(Over::Commands) => return,
+                    Ok(Over::Address) => continue,
+                    Err(e) => log!("interpreter: link lost: {e}"),
+                },
+                Some(Some(Err(e))) => log!("interpreter: no link: {e}"),
+                // The address is another one.
+                Some(None) => continue,
                 None => return,
-                Some(Err(e)) => {
-                    log!("interpreter: no link: {e}");
-                    if self.unlinked(clock::until(clock::now() + RETRY)).await.is_none() {
-                        return;
-                    }
-                    continue;
-                }
-            };
-            match self.linked(Link::new(stream)).await {
-                Ok(()) => return,
-                Err(e) => log!("interpreter: link lost: {e}"),
             }
-            if self.unlinked(clock::until(clock::now() + RETRY)).await.is_none() {
+            // Guards both sides against spinning where links are taken and closed at once.
+            if self.unlinked(clock::until(begun + RETRY)).await.is_none() {
                 return;
             }
         }
     }
 
-    /// Takes commands down while something else goes on; nothing if there are none to come.
-    async fn unlinked<T>(&mut self, until: impl std::future::Future<Output = T>) -> Option<T> {
+    /// Takes commands down while something else goes on; nothing if there are none to come. What goes on is
+    /// broken off by a new address.
+    async fn unlinked<T>(&mut self, until: impl std::future::Future<Output = T>) -> Option<Option<T>> {
         tokio::pin!(until);
         loop {
             tokio::select! {
-                done = &mut until => return Some(done),
+                done = &mut until => return Some(Some(done)),
+                Ok(()) = self.links.changed() => return Some(None),
                 command = self.commands.recv() => self.note(&command?),
             }
         }
     }
 
-    async fn linked(&mut self, mut link: Link) -> io::Result<()> {
+    async fn linked(&mut self, mut link: Link) -> io::Result<Over> {
         link.output.put_slice(format!("CONNECT {}\r\n", self.read).as_bytes());
         let mut synced = false;
         loop {
@@ -108,8 +117,10 @@
             let room = link.has_room();
             tokio::select! {
                 turned = link.turn() => turned?,
+                // Runs and the numbers of notices carry on over the link to the new address.
+                Ok(()) = self.links.changed() => return Ok(Over::Address),
                 command = self.commands.recv(), if room => {
-                    let Some(command) = command else { return Ok(()) };
+                    let Some(command) = command else { return Ok(Over::Commands) };
                     self.commanded(&command, synced, &mut link.output);
                     while let Ok(command) = self.commands.try_recv() {
                         self.commanded(&command, synced, &mut link.output);
--- a/node/src/backends/lines.rs
+++ b/node/src/backends/lines.rs
@@ -119,6 +119,12 @@
         Link { stream, input: BytesMut::with_capacity(64 * 1024), output: BytesMut::new() }
     }
 
+    /// Whether nothing has come and the peer has not closed, as far as is known without waiting.
+    pub fn silent(&self) -> bool {
+        let nothing = self.stream.try_read(&mut [0]);
+        self.input.is_empty() && nothing.is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Room for more output.
     pub fn has_room(&self) -> bool {
         self.output.len() < MAX_UNWRITTEN
--- a/node/src/backends/uwsgi.rs
+++ b/node/src/backends/uwsgi.rs
@@ -2,7 +2,6 @@
 //! 503 and Retry-After never ran; so did what no server could be connected for.
 
 use std::cell::Cell;
-use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,11 +11,12 @@
 use swiftwinch_settings::Parsed;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
-use tokio::task::{AbortHandle, JoinSet};
+use tokio::sync::{mpsc, watch};
 
+use super::{Callee, UnderWay};
 use crate::clock::{self, Unix};
-use crate::exchange::{CallCommand, CallEnd, End, Exchange, Report, Request, RunCommand};
+use crate::config::Links;
+use crate::exchange::{CallEnd, End, Exchange, Report, Request, RunCommand};
 use crate::log;
 use crate::uwsgi::packet;
 
@@ -45,27 +45,32 @@
     Unreachable,
 }
 
+/// Which of a node's links servers are taken from.
+pub type Pick = fn(&Links) -> &Vec<SocketAddr>;
+
 /// Servers that stand in for each other, and the names that they are told.
 pub struct Servers {
-    addresses: Vec<SocketAddr>,
+    links: watch::Receiver<Links>,
+    pick: Pick,
     next: Cell<usize>,
     classes: Vec<String>,
     tenants: Vec<String>,
 }
 
 impl Servers {
-    /// The servers at these addresses; classes and tenants go by their names in the settings.
-    pub fn new(addresses: Vec<SocketAddr>, settings: &Parsed) -> Rc<Self> {
+    /// The servers at the addresses of the day; classes and tenants go by their names in the settings.
+    pub fn new(links: watch::Receiver<Links>, pick: Pick, settings: &Parsed) -> Rc<Self> {
         let (classes, tenants) = (settings.classes.clone(), settings.tenants.clone());
-        Rc::new(Servers { addresses, next: Cell::new(0), classes, tenants })
+        Rc::new(Servers { links, pick, next: Cell::new(0), classes, tenants })
     }
 
     /// A connection to the first server, in turn, that takes one. A failed one proves that nothing ran.
     async fn connect(&self) -> Option<TcpStream> {
+        let addresses = (self.pick)(&self.links.borrow()).clone();
         let first = self.next.get();
         self.next.set(first.wrapping_add(1));
-        for turn in 0..self.addresses.len() {
-            let address = self.addresses[first.wrapping_add(turn) % self.addresses.len()];
+        for turn in 0..addresses.len() {
+            let address = addresses[first.wrapping_add(turn) % addresses.len()];
             match TcpStream::connect(address).await {
                 Ok(stream) => return Some(stream),
                 Err(e) => log!("uwsgi server {address}: no connection: {e}"),
@@ -184,47 +189,14 @@
     io::Error::new(io::ErrorKind::InvalidData, what)
 }
 
-/// Exchanges under way, by the request that each is for.
-#[derive(Default)]
-struct UnderWay {
-    tasks: JoinSet<(Bytes, Asked)>,
-    handles: HashMap<Bytes, AbortHandle>,
-}
-
-impl UnderWay {
-    fn begin(&mut self, txn: Bytes, asked: impl std::future::Future<Output = Asked> + 'static) {
-        self.give_up(&txn);
-        let named = txn.clone();
-        let handle = self.tasks.spawn_local(async move { (named, asked.await) });
-        self.handles.insert(txn, handle);
-    }
-
-    /// Closes the connection of an exchange; false if there is none.
-    fn give_up(&mut self, txn: &Bytes) -> bool {
-        self.handles.remove(txn).map(|handle| handle.abort()).is_some()
-    }
-
-    /// The next exchange that ended; never if none is under way.
-    async fn next(&mut self) -> (Bytes, Asked) {
-        loop {
-            match self.tasks.join_next_with_id().await {
-                Some(Ok((id, (txn, asked)))) => {
-                    // What was given up meanwhile has ended already.
-                    if self.handles.get(&txn).is_some_and(|handle| handle.id() == id) {
-                        self.handles.remove(&txn);
-                        return (txn, asked);
-                    }
-                }
-                Some(Err(_)) => {}
-                None => std::future::pending().await,
-            }
-        }
-    }
-}
-
 /// Runs requests on uwsgi servers, in the interpreter's place.
-pub async fn run(servers: Rc<Servers>, exchange: Exchange, mut commands: mpsc::Receiver<RunCommand>) {
-    let mut under_way = UnderWay::default();
+pub async fn run(
+    servers: Rc<Servers>,
+    exchange: Exchange,
+    mut commands: mpsc::Receiver<RunCommand>,
+    connections: usize,
+) {
+    let mut under_way = UnderWay::new(connections);
     exchange.report(Report::Up { cold: false }).await;
     loop {
         tokio::select! {
@@ -232,7 +204,8 @@
                 None => return,
                 Some(RunCommand::Run(request)) => {
                     let (txn, body, until) = (request.txn.clone(), request.body.clone(), request.due + LATE);
-                    under_way.begin(txn, servers.clone().ask(request, body, until));
+                    let asked = servers.clone().ask(request, body, until);
+                    under_way.begin(txn, until, asked, Asked::Unreachable);
                 }
                 Some(RunCommand::Stop(txn)) => {
                     if under_way.give_up(&txn) {
@@ -254,29 +227,15 @@
     }
 }
 
-/// Makes calls to uwsgi servers, in the index's place.
-pub async fn call(servers: Rc<Servers>, exchange: Exchange, mut commands: mpsc::Receiver<CallCommand>) {
-    let mut under_way = UnderWay::default();
-    loop {
-        tokio::select! {
-            command = commands.recv() => match command {
-                None => return,
-                Some(CallCommand::Call { request, body, until }) => {
-                    under_way.begin(request.txn.clone(), servers.clone().ask(request, body, until));
-                }
-                Some(CallCommand::GiveUp(txn)) => drop(under_way.give_up(&txn)),
-            },
-            (txn, asked) = under_way.next() => {
-                let end = match asked {
-                    Asked::Done(reply) => CallEnd::Ok(reply),
-                    Asked::Refused => CallEnd::Refused,
-                    Asked::TimedOut => CallEnd::TimedOut,
-                    Asked::Failed => CallEnd::Failed,
-                    Asked::CutOff => CallEnd::CutOff,
-                    Asked::Unreachable => CallEnd::Unreachable,
-                };
-                exchange.report(Report::CallEnded(txn, end)).await;
-            }
+impl Callee for Servers {
+    async fn call(self: Rc<Self>, request: Rc<Request>, body: Bytes, until: Unix) -> CallEnd {
+        match self.ask(request, body, until).await {
+            Asked::Done(reply) => CallEnd::Ok(reply),
+            Asked::Refused => CallEnd::Refused,
+            Asked::TimedOut => CallEnd::TimedOut,
+            Asked::Failed => CallEnd::Failed,
+            Asked::CutOff => CallEnd::CutOff,
+            Asked::Unreachable => CallEnd::Unreachable,
         }
     }
 }
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::path::Path;
+use std::path::{Path, PathBuf};
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -24,6 +24,66 @@
     Err(BadConfig(what.into()))
 }
 
+/// Whom the node connects to: the part of a configuration that a reload changes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Links {
+    /// The interpreter, unless uwsgi servers run everything.
+    pub vm: Option<SocketAddr>,
+    /// The membership service, if there is one.
+    pub members: Option<SocketAddr>,
+    /// The index; the last tier has none.
+    pub index: Option<SocketAddr>,
+    /// uwsgi servers that run requests, in place of the interpreter.
+    pub runs: Vec<SocketAddr>,
+    /// uwsgi servers that take the calls to the tier below, in place of the index.
+    pub calls: Vec<SocketAddr>,
+}
+
+impl Links {
+    /// The key that says of these links what a node that began with the others can't take over while it runs:
+    /// what kind of peer does a job, or that there is one.
+    pub fn unlike(&self, begun: &Links) -> Option<&'static str> {
+        let kinds = |links: &Links| {
+            [
+                ("runs", links.runs.is_empty()),
+                ("vm", links.vm.is_none()),
+                ("calls", links.calls.is_empty()),
+                ("index", links.index.is_none()),
+                ("members", links.members.is_none()),
+            ]
+        };
+        kinds(self).into_iter().zip(kinds(begun)).find(|(new, old)| new != old).map(|(new, _)| new.0)
+    }
+}
+
+/// The files that a node is told by, read at its start and at each reload.
+#[derive(Debug)]
+pub struct Files {
+    /// The platform's JSON; by default the file that `BALANCER_CONFIG` names.
+    pub config: Option<PathBuf>,
+    /// The file that switches the uwsgi front on.
+    pub uwsgi: Option<PathBuf>,
+}
+
+impl Files {
+    /// Reads and checks all there is.
+    pub fn read(&self) -> Result<(Config, Option<Uwsgi>), BadConfig> {
+        let named = self.config.clone().or_else(|| std::env::var_os("BALANCER_CONFIG").map(PathBuf::from));
+        let Some(path) = named else {
+            return bad("no configuration: name one with --config or BALANCER_CONFIG");
+        };
+        let mut config = Config::read(&path)?;
+        let uwsgi = self.uwsgi.as_deref().map(Uwsgi::read).transpose()?;
+        if let Some(uwsgi) = &uwsgi {
+            (config.links.runs, config.links.calls) = (uwsgi.runs.clone(), uwsgi.calls.clone());
+        }
+        if config.links.vm.is_none() && config.links.runs.is_empty() {
+            return bad("vm: missing, and no uwsgi servers run the requests in its place");
+        }
+        Ok((config, uwsgi))
+    }
+}
+
 /// The platform's configuration.
 #[derive(Debug)]
 pub struct Config {
@@ -31,12 +91,8 @@
     pub name: String,
     /// Where front ends connect.
     pub listen: SocketAddr,
-    /// The interpreter, unless uwsgi servers run everything.
-    pub vm: Option<SocketAddr>,
-    /// The membership service, if there is one.
-    pub members: Option<SocketAddr>,
-    /// The index; the last tier has none.
-    pub index: Option<SocketAddr>,
+    /// Whom the node connects to.
+    pub links: Links,
     /// Seed of the random numbers.
     pub seed: u64,
     /// How long after the notice to leave the process is stopped.
@@ -93,9 +149,13 @@
         }
         Ok(Config {
             listen: address("listen", &raw.listen)?,
-            vm: raw.vm.as_deref().map(|a| address("vm", a)).transpose()?,
-            members: raw.members.as_deref().map(|a| address("members", a)).transpose()?,
-            index: raw.index.as_deref().map(|a| address("index", a)).transpose()?,
+            links: Links {
+                vm: raw.vm.as_deref().map(|a| address("vm", a)).transpose()?,
+                members: raw.members.as_deref().map(|a| address("members", a)).transpose()?,
+                index: raw.index.as_deref().map(|a| address("index", a)).transpose()?,
+                runs: Vec::new(),
+                calls: Vec::new(),
+            },
             name: raw.name,
             seed,
             stop: Duration::from_millis(raw.stop_ms),
@@ -255,7 +315,7 @@
     #[test]
     fn a_small_configuration_is_enough() {
         let config = Config::parse(SMALL).unwrap();
-        assert_eq!((config.seed, config.sockets, config.vm), (0x8c1f, 1024, None));
+        assert_eq!((config.seed, config.sockets, config.links.vm), (0x8c1f, 1024, None));
         assert_eq!(config.settings.classes, ["quote"]);
     }
 
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -14,11 +14,11 @@
 mod uwsgi;
 mod vrrp;
 
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 
 use argh::FromArgs;
-use config::{BadConfig, Config, Uwsgi};
+use config::Files;
 
 /// A dispatch node for JSON-RPC and uwsgi clients.
 #[derive(FromArgs)]
@@ -35,7 +35,7 @@
     Version(Version),
 }
 
-/// Serve until SIGTERM or SIGINT, and drain then.
+/// Serve until SIGTERM or SIGINT, and drain then. SIGHUP makes it read its files again.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
 struct Serve {
@@ -64,25 +64,12 @@
 #[argh(subcommand, name = "version")]
 struct Version {}
 
-fn read(config: Option<PathBuf>, uwsgi: Option<&Path>) -> Result<(Config, Option<Uwsgi>), BadConfig> {
-    let named = config.or_else(|| std::env::var_os("BALANCER_CONFIG").map(PathBuf::from));
-    let path = named
-        .ok_or_else(|| BadConfig("no configuration: name one with --config or BALANCER_CONFIG".into()))?;
-    let config = Config::read(&path)?;
-    let uwsgi = uwsgi.map(Uwsgi::read).transpose()?;
-    if config.vm.is_none() && uwsgi.as_ref().is_none_or(|u| u.runs.is_empty()) {
-        return Err(BadConfig("vm: missing, and no uwsgi servers run the requests in its place".into()));
-    }
-    Ok((config, uwsgi))
-}
-
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     let done = match arguments.command {
-        Command::Serve(Serve { config, uwsgi }) => read(config, uwsgi.as_deref())
-            .map_err(|e| e.to_string())
-            .and_then(|(config, uwsgi)| serve::serve(config, uwsgi)),
-        Command::Check(Check { config, uwsgi }) => read(config, uwsgi.as_deref())
+        Command::Serve(Serve { config, uwsgi }) => serve::serve(&Files { config, uwsgi }),
+        Command::Check(Check { config, uwsgi }) => Files { config, uwsgi }
+            .read()
             .map(|(config, _)| println!("{}: can be served", config.name))
             .map_err(|e| e.to_string()),
         Command::Version(Version {}) => {
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -9,14 +9,15 @@
 
 use futures_util::FutureExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{watch, Semaphore};
 use tokio::task::{spawn_local, LocalSet};
 
+use crate::backends::call;
 use crate::backends::index::Index;
 use crate::backends::interpreter::Interpreter;
 use crate::backends::uwsgi::{self as client, Servers};
-use crate::config::{Config, Uwsgi};
+use crate::config::{Config, Files, Links, Uwsgi};
 use crate::core::Core;
 use crate::exchange::{self, Exchange, State};
 use crate::fronts::uwsgi::{self, Front, Ids};
@@ -31,25 +32,25 @@
 const MARGIN: Duration = Duration::from_millis(100);
 
 /// Serves until the notice to leave, then drains.
-pub fn serve(config: Config, uwsgi: Option<Uwsgi>) -> Result<(), String> {
+pub fn serve(files: &Files) -> Result<(), String> {
+    let (config, uwsgi) = files.read().map_err(|e| e.to_string())?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|e| format!("no runtime: {e}"))?;
-    runtime.block_on(LocalSet::new().run_until(run(config, uwsgi)))
+    runtime.block_on(LocalSet::new().run_until(run(files, config, uwsgi)))
 }
 
-async fn run(config: Config, uwsgi: Option<Uwsgi>) -> Result<(), String> {
+async fn run(files: &Files, config: Config, uwsgi: Option<Uwsgi>) -> Result<(), String> {
+    // Comes first: a signal that nobody hears yet would end the process.
+    let signals = Signals::new().map_err(|e| format!("no signals: {e}"))?;
     let (exchange, core, backends) = exchange::new();
-    let (runs, calls) = uwsgi.as_ref().map_or((&[][..], &[][..]), |u| (&u.runs[..], &u.calls[..]));
+    let (changed, links) = watch::channel(config.links);
     let settings = &config.settings;
     // All that can fail comes before anything is served.
     let listener = bind("listen", config.listen).await?;
     let names = Rc::new(Names::new(settings));
-    let connections = config.sockets.saturating_sub(RESERVED).max(4);
-    // With two fronts, neither can use up what the other and the servers need.
-    let (platform, second) =
-        if uwsgi.is_some() { (connections / 2, connections / 4) } else { (connections, 0) };
+    let Room { platform, second, backends: each } = Room::new(config.sockets, uwsgi.is_some());
     let (platform_room, second_room) = (Arc::new(Semaphore::new(platform)), Arc::new(Semaphore::new(second)));
     if let Some(uwsgi) = &uwsgi {
         let ids = Ids::new(config.seed ^ u64::from(clock::now().subsec_nanos()));
@@ -70,25 +71,21 @@
         };
         spawn_local(while_active(uwsgi.listen, active, exchange.clone(), second_room.clone(), front));
     }
-    match config.vm.filter(|_| runs.is_empty()) {
-        Some(vm) => {
-            let classes = settings.classes.clone();
-            spawn_local(Interpreter::new(vm, exchange.clone(), backends.runs, classes).run());
-        }
-        None => {
-            let servers = Servers::new(runs.to_vec(), settings);
-            spawn_local(client::run(servers, exchange.clone(), backends.runs));
-        }
-    }
-    if calls.is_empty() {
-        spawn_local(Index::new(config.index, exchange.clone(), backends.calls).run());
+    let begun = links.borrow().clone();
+    if begun.runs.is_empty() {
+        let classes = settings.classes.clone();
+        spawn_local(Interpreter::new(links.clone(), exchange.clone(), backends.runs, classes).run());
     } else {
-        let servers = Servers::new(calls.to_vec(), settings);
-        spawn_local(client::call(servers, exchange.clone(), backends.calls));
+        let servers = Servers::new(links.clone(), |links| &links.runs, settings);
+        spawn_local(client::run(servers, exchange.clone(), backends.runs, each));
     }
-    if let Some(members) = config.members {
-        spawn_local(membership::report(config.name.clone(), members, exchange.clone()));
+    if begun.calls.is_empty() {
+        spawn_local(call(Index::new(links.clone()), exchange.clone(), backends.calls, each));
+    } else {
+        let servers = Servers::new(links.clone(), |links| &links.calls, settings);
+        spawn_local(call(servers, exchange.clone(), backends.calls, each));
     }
+    spawn_local(membership::report(config.name.clone(), links, exchange.clone()));
     spawn_local(Core::new(core, config.settings, config.seed).run());
     log!("{} serves JSON-RPC at {}", config.name, address(&listener));
     let front = {
@@ -97,18 +94,69 @@
     };
     let open = exchange.state();
     spawn_local(accept(listener, while_open(open), platform_room.clone(), front));
-    notice().await.map_err(|e| format!("no signals: {e}"))?;
-    let stop = clock::now() + config.stop;
-    exchange.drain(stop).await;
-    let closed = async {
-        let _ = platform_room.acquire_many(platform as u32).await;
-        let _ = second_room.acquire_many(second as u32).await;
+    let Signals { notice, hangup } = signals;
+    let draining = async {
+        notice.await;
+        let stop = clock::now() + config.stop;
+        exchange.drain(stop).await;
+        let closed = async {
+            let _ = platform_room.acquire_many(platform as u32).await;
+            let _ = second_room.acquire_many(second as u32).await;
+        };
+        drained(&exchange, stop, closed).await;
     };
-    drained(&exchange, stop, closed).await;
+    tokio::select! {
+        () = draining => {}
+        () = reloads(files, hangup, changed) => {}
+    }
     log!("{} has drained", config.name);
     Ok(())
 }
 
+/// How the descriptors are shared out, so that neither front can use up what the other and the backends need.
+struct Room {
+    /// Connections of front ends.
+    platform: usize,
+    /// Connections of uwsgi clients.
+    second: usize,
+    /// Connections of each of the backends.
+    backends: usize,
+}
+
+impl Room {
+    fn new(sockets: usize, uwsgi: bool) -> Self {
+        let connections = sockets.saturating_sub(RESERVED).max(8);
+        if uwsgi {
+            Room { platform: connections / 2, second: connections / 4, backends: connections / 8 }
+        } else {
+            // Front ends open half of all descriptors at the most.
+            Room { platform: connections * 2 / 3, second: 0, backends: connections / 3 }
+        }
+    }
+}
+
+/// Reads the files again at each hang-up. A bad file changes nothing; of a good one the links are taken over.
+async fn reloads(files: &Files, mut hangup: Signal, links: watch::Sender<Links>) {
+    while hangup.recv().await.is_some() {
+        let new = match files.read() {
+            Ok((config, _)) => config.links,
+            Err(e) => {
+                log!("not reloaded: {e}");
+                continue;
+            }
+        };
+        if let Some(key) = new.unlike(&links.borrow()) {
+            log!(
+                "not reloaded: {key}: what does this job, or that anything does, changes with a restart only"
+            );
+            continue;
+        }
+        let changed = links.send_if_modified(|links| std::mem::replace(links, new.clone()) != new);
+        log!("reloaded{}", if changed { ": links go to new addresses" } else { ", nothing has changed" });
+    }
+    std::future::pending().await
+}
+
 async fn bind(key: &str, address: SocketAddr) -> Result<TcpListener, String> {
     TcpListener::bind(address).await.map_err(|e| format!("{key}: {address}: {e}"))
 }
@@ -164,14 +212,25 @@
     }
 }
 
-/// Waits for the notice to leave.
-async fn notice() -> io::Result<()> {
-    let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
-    tokio::select! {
-        _ = term.recv() => {}
-        _ = int.recv() => {}
+/// The signals that the process hears.
+struct Signals<F> {
+    /// The notice to leave.
+    notice: F,
+    /// The notice to reload.
+    hangup: Signal,
+}
+
+impl Signals<()> {
+    fn new() -> io::Result<Signals<impl Future<Output = ()>>> {
+        let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+        let notice = async move {
+            tokio::select! {
+                _ = term.recv() => {}
+                _ = int.recv() => {}
+            }
+        };
+        Ok(Signals { notice, hangup: signal(SignalKind::hangup())? })
     }
-    Ok(())
 }
 
 /// Waits until nothing more comes in, all that was read is answered and every connection is closed, or the
--- a/node/tests/sockets/helper.rs
+++ b/node/tests/sockets/helper.rs
@@ -62,14 +62,15 @@
     child: Child,
     log: Receiver<String>,
     said: Vec<String>,
+    config: PathBuf,
     pub json: SocketAddr,
 }
 
 impl Node {
     /// Starts it; `uwsgi` is the text of a uwsgi file, if any.
     pub fn start(config: &str, uwsgi: Option<&str>) -> Node {
-        let config = file("config.json", config);
-        let mut command = oakwind(&["serve", "--config", config.to_str().unwrap()]);
+        let path = file("config.json", config);
+        let mut command = oakwind(&["serve", "--config", path.to_str().unwrap()]);
         if let Some(text) = uwsgi {
             command.arg("--uwsgi").arg(file("uwsgi.toml", text));
         }
@@ -77,7 +78,7 @@
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
         let (say, log) = channel();
         std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| say.send(line)));
-        let mut node = Node { child, log, said: Vec::new(), json: ([127, 0, 0, 1], 0).into() };
+        let mut node = Node { child, log, said: Vec::new(), config: path, json: ([127, 0, 0, 1], 0).into() };
         node.json = node.address("serves JSON-RPC at ");
         node
     }
@@ -117,11 +118,21 @@
         Peer::connect(self.json)
     }
 
-    pub fn terminate(&self) {
-        let killed = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap();
+    fn signal(&self, name: &str) {
+        let killed = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
         assert!(killed.success());
     }
 
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Puts another text in the place of its configuration and tells it to read that.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.config, config).unwrap();
+        self.signal("-HUP");
+    }
+
     /// Waits for its end, which must be a clean one.
     pub fn ends(mut self) {
         self.logs("has drained");
--- a/node/tests/sockets/links.rs
+++ b/node/tests/sockets/links.rs
@@ -108,3 +108,73 @@
     node.logs("index: no connection");
     assert!(client.line().contains("-32000"), "after a few tries it fails");
 }
+
+#[test]
+fn a_reload_moves_every_link_and_runs_carry_on() {
+    let links = |vm: &Server, index: &Server, members: &std::net::UdpSocket| {
+        let members = members.local_addr().unwrap();
+        config(&format!(r#""vm": "{}", "index": "{}", "members": "{members}","#, vm.address, index.address))
+    };
+    let (old, new) = ((Server::new(), Server::new()), (Server::new(), Server::new()));
+    let members = udp("127.0.0.1:0");
+    let mut node = Node::start(&links(&old.0, &old.1, &udp("127.0.0.1:0")), None);
+    let mut vm = old.0.interpreter("0");
+    let mut client = node.client();
+    for (id, txn) in [(1, "a1"), (2, "a2")] {
+        client.request(id, txn, Some(txn), LONG);
+        vm.apply();
+    }
+    vm.say("AWAIT 1 a1 1\r\nc\r\n");
+    let mut call = old.1.accept();
+    call.command();
+    let good = links(&new.0, &new.1, &members);
+    for (bad, key) in [
+        (good.replace(&new.1.address.to_string(), "nowhere"), "index: \"nowhere\""),
+        (good.replace("by_key", "sometimes"), "effect"),
+        (good.replace("\"index\"", "\"none\""), "not reloaded: index"),
+        ("{".into(), "not reloaded"),
+    ] {
+        node.reload(&bad);
+        let line = node.logs("not reloaded");
+        assert!(line.contains(key), "{line}");
+    }
+    node.reload(&good);
+    let mut vm = new.0.interpreter("1");
+    assert_eq!(members.recv(&mut [0; 64]).unwrap(), "HB n1 UP".len());
+    // A run that the old link has not shown the end of is applied again, which does nothing to it.
+    assert_eq!((vm.apply().0, vm.apply().0), ("a1".into(), "a2".into()));
+    // The call under way ends on its old connection, and the next one goes to the new address.
+    call.say("a1 HIT 1\r\nr\r\n");
+    assert_eq!(vm.command().0[..2], ["RESOLVE", "a1"]);
+    vm.say("AWAIT 2 a2 1\r\nc\r\n");
+    let mut call = new.1.accept();
+    assert_eq!(call.command().0[..2], ["GET", "a2"]);
+    vm.value(3, "a1", "done", "x");
+    assert!(client.line().contains("\"id\":1,\"result\""));
+}
+
+#[test]
+fn a_spoilt_reply_costs_no_call_but_its_own_and_what_is_beside_a_reply_costs_none() {
+    let index = Server::new();
+    let (node, _vm, mut vm) = Node::with_interpreter(&format!(r#""index": "{}","#, index.address), None);
+    let mut client = node.client();
+    let mut calls: Vec<Peer> = (1..=3)
+        .map(|id| {
+            let txn = format!("a{id}");
+            client.request(id, &txn, Some(&txn), LONG);
+            vm.apply();
+            vm.say(format!("AWAIT {id} {txn} 1\r\nc\r\n"));
+            let mut call = index.accept();
+            assert_eq!(call.command().0[1], txn);
+            call
+        })
+        .collect();
+    // Three GB that will not come are known by their length alone.
+    calls[0].say("a1 HIT 3000000000\r\nxxxx");
+    assert!(client.line().contains("\"id\":1,\"error\""), "it may have had its effect");
+    assert!(calls[0].closed());
+    calls[1].say("b9 HIT 1\r\nx\r\na2 HIT 1\r\ny\r\na2 HIT 1\r\nz\r\n");
+    assert_eq!(vm.command(), (vec!["RESOLVE".into(), "a2".into(), "1".into()], "y".into()));
+    calls[2].say("a3 HIT 1\r\nw\r\n");
+    assert_eq!(vm.command(), (vec!["RESOLVE".into(), "a3".into(), "1".into()], "w".into()));
+}
