Refuse keys that come with another body, and let silent connections shut nobody out

The table of keys remembers a keyed digest of the body; another body is `Mismatched` (-32602, or 400). Both fronts take their connections from `Guests`: a first message is owed within 2 s and the rest of one that began within 2 s; where there is no room, a stranger or the connection idle for longest goes. Requests without an id, figures out of range, long keys and ids that are not hexadecimal get errors; 16 unservable messages in a row end the connection. Hints and deadlines are bounded the same way for both fronts, closing after an error reads on for a moment so that the answer arrives, and 64 KiB may wait unwritten, for 5 s. Connections no longer wake whenever the number of unanswered requests changes.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -20,7 +20,7 @@
     CallCommand, CallEnd, CoreEnds, End, Input, Outcome, Report, Request, RunCommand, State, Ticket,
 };
 use crate::log;
-use keys::{Kept, Keys};
+use keys::{Kept, Keys, Linked};
 
 /// The gauges are asked for this long before the timer that they go with, as the answer takes a moment.
 const GAUGE_LEAD: Duration = Duration::from_millis(5);
@@ -152,8 +152,9 @@
         }
         self.keys.sweep(now);
         let open = self.closing_at().is_none_or(|at| now < at);
-        let unanswered = self.tries.values().filter(|t| t.ticket.is_some()).count();
-        self.update(|state| (state.open, state.unanswered) = (open, unanswered));
+        let leaving = self.ends.state.borrow().draining.is_some();
+        let answered = leaving && self.tries.values().all(|t| t.ticket.is_none());
+        self.update(|state| (state.open, state.answered) = (open, answered));
     }
 
     fn update(&self, change: impl FnOnce(&mut State)) {
@@ -229,9 +230,17 @@
         if key.as_ref().is_some_and(|key| self.keys.in_batch(key)) {
             return self.deferred.push_back(Input::Submitted(request, ticket));
         }
+        let repeats =
+            match key.map_or(Linked::First, |key| self.keys.arrived(key, &request.body, request.door)) {
+                Linked::First => None,
+                Linked::To(prior) => Some(prior),
+                Linked::Elsewhere => {
+                    log!("request {:?} came with the key of another body", request.txn);
+                    return ticket.answer(Outcome::Mismatched);
+                }
+            };
         let id = RequestId(self.next_id);
         self.next_id = self.next_id.wrapping_add(1).max(1);
-        let repeats = key.and_then(|key| self.keys.arrived(key, request.door));
         self.events.push(Event::Arrived(Arrival {
             id,
             repeats,
@@ -395,8 +404,9 @@
             }
             Action::Join(id) => self.join(id, now),
             Action::Remember(id, keep) => {
-                if let Some(key) = self.tries.get(&id).and_then(|t| self.key_of(&t.request)) {
-                    self.keys.remember(key, id, now + keep);
+                let Some(request) = self.tries.get(&id).map(|t| t.request.clone()) else { return };
+                if let Some(key) = self.key_of(&request) {
+                    self.keys.remember(key, &request.body, id, now + keep);
                 }
             }
             Action::Forget(id) => self.keys.forget(id),
--- a/node/src/core/keys.rs
+++ b/node/src/core/keys.rs
@@ -1,6 +1,7 @@
 //! The table of keys: which try of a key holds it, what became of its run, and which tries wait for that.
 
 use std::collections::{HashMap, HashSet};
+use std::hash::{BuildHasher, RandomState};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -29,6 +30,8 @@
 #[derive(Debug)]
 struct Entry {
     holder: RequestId,
+    /// A digest of the body that all tries of the key carry.
+    body: u64,
     until: Unix,
     /// The try that was run, if any has been.
     ran: Option<RequestId>,
@@ -36,9 +39,22 @@
     joiners: Vec<RequestId>,
 }
 
+/// What a try's key says of it.
+#[derive(Debug, PartialEq)]
+pub enum Linked {
+    /// It is the first try, as far as is remembered.
+    First,
+    /// It repeats this one.
+    To(RequestId),
+    /// The key is that of a request with another body. Guards a client against the result of another's request.
+    Elsewhere,
+}
+
 /// All keys that are remembered.
 #[derive(Debug, Default)]
 pub struct Keys {
+    /// Digests bodies in a way that no client can foresee.
+    digest: RandomState,
     entries: HashMap<Key, Entry>,
     /// The key that each holder holds.
     held: HashMap<RequestId, Key>,
@@ -57,20 +73,24 @@
         self.batch.clear();
     }
 
-    /// A try came to the machine at `door`; returns the one that it repeats.
-    pub fn arrived(&mut self, key: Key, door: Unix) -> Option<RequestId> {
-        let prior = self.entries.get(&key).map(|e| (e.holder, e.until));
+    /// A try with this body came to the machine at `door`.
+    pub fn arrived(&mut self, key: Key, body: &[u8], door: Unix) -> Linked {
+        let prior = self.entries.get(&key).map(|e| (e.holder, e.until, e.body));
+        let linked = match prior {
+            Some((holder, until, _)) if door > until => {
+                self.forget(holder);
+                Linked::First
+            }
+            Some((_, _, digest)) if digest != self.digest.hash_one(body) => return Linked::Elsewhere,
+            Some((holder, ..)) => Linked::To(holder),
+            None => Linked::First,
+        };
         self.batch.insert(key);
-        let (holder, until) = prior?;
-        if door > until {
-            self.forget(holder);
-            return None;
-        }
-        Some(holder)
+        linked
     }
 
     /// The try holds the key until then; the key passes to it from one that held it before.
-    pub fn remember(&mut self, key: Key, id: RequestId, until: Unix) {
+    pub fn remember(&mut self, key: Key, body: &[u8], id: RequestId, until: Unix) {
         // A key outlives the buffer that it was read into.
         let key = (key.0, Bytes::copy_from_slice(&key.1));
         match self.entries.get_mut(&key) {
@@ -79,7 +99,8 @@
                 (entry.holder, entry.until) = (id, until);
             }
             None => {
-                let entry = Entry { holder: id, until, ran: None, kept: None, joiners: Vec::new() };
+                let body = self.digest.hash_one(body);
+                let entry = Entry { holder: id, body, until, ran: None, kept: None, joiners: Vec::new() };
                 self.entries.insert(key.clone(), entry);
             }
         }
@@ -164,8 +185,8 @@
     /// A came at 100 s and holds its key until 117 s.
     fn keys() -> Keys {
         let mut keys = Keys::default();
-        assert_eq!(keys.arrived(key(), at(100)), None);
-        keys.remember(key(), A, at(117));
+        assert_eq!(keys.arrived(key(), b"x", at(100)), Linked::First);
+        keys.remember(key(), b"x", A, at(117));
         keys.batch_over();
         keys
     }
@@ -174,11 +195,11 @@
     fn what_came_in_an_entrys_time_is_linked_to_it_however_late_it_is_read() {
         let mut keys = keys();
         keys.sweep(at(120));
-        assert_eq!(keys.arrived(key(), at(117)), Some(A));
-        assert_eq!(keys.arrived(key(), at(118)), None, "that is a new request");
+        assert_eq!(keys.arrived(key(), b"x", at(117)), Linked::To(A));
+        assert_eq!(keys.arrived(key(), b"x", at(118)), Linked::First, "that is a new request");
         let mut keys = self::keys();
         keys.sweep(at(126));
-        assert_eq!(keys.arrived(key(), at(117)), None, "nothing is kept for ever");
+        assert_eq!(keys.arrived(key(), b"x", at(117)), Linked::First, "nothing is kept for ever");
     }
 
     #[test]
@@ -197,7 +218,7 @@
         let mut keys = keys();
         assert!(keys.may_run(&key(), A));
         assert_eq!(keys.ended(A, Kept::NeverRan), []);
-        assert_eq!(keys.arrived(key(), at(101)), None);
+        assert_eq!(keys.arrived(key(), b"x", at(101)), Linked::First);
         assert!(keys.may_run(&key(), B));
     }
 
@@ -205,10 +226,19 @@
     fn a_key_passes_to_a_newer_try_and_is_seen_in_its_batch() {
         let mut keys = keys();
         assert!(!keys.in_batch(&key()));
-        assert_eq!(keys.arrived(key(), at(101)), Some(A));
+        assert_eq!(keys.arrived(key(), b"x", at(101)), Linked::To(A));
         assert!(keys.in_batch(&key()));
-        keys.remember(key(), B, at(118));
+        keys.remember(key(), b"x", B, at(118));
         keys.forget(A);
-        assert_eq!(keys.arrived(key(), at(102)), Some(B), "A has nothing left to give up");
+        assert_eq!(keys.arrived(key(), b"x", at(102)), Linked::To(B), "A has nothing left to give up");
+    }
+
+    #[test]
+    fn a_key_with_another_body_is_another_request_until_it_runs_out() {
+        let mut keys = keys();
+        assert_eq!(keys.arrived(key(), b"y", at(101)), Linked::Elsewhere);
+        assert!(!keys.in_batch(&key()), "it leaves no trace");
+        assert_eq!(keys.arrived(key(), b"x", at(101)), Linked::To(A));
+        assert_eq!(keys.arrived(key(), b"y", at(118)), Linked::First);
     }
 }
--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -59,6 +59,8 @@
         /// Because its time ran out.
         overdue: bool,
     },
+    /// Its key is that of a request with another body; nothing ran for it.
+    Mismatched,
 }
 
 /// The right to give one request its outcome. Answering uses it up, so no request is answered twice, and the
@@ -186,8 +188,8 @@
     pub draining: Option<(Unix, Unix)>,
     /// Requests that arrive are still read.
     pub open: bool,
-    /// Requests in hand that have no answer yet.
-    pub unanswered: usize,
+    /// After the notice to leave: all requests in hand have their answers.
+    pub answered: bool,
 }
 
 /// The fronts' and backends' handle on the core.
@@ -222,7 +224,7 @@
     let (inbox, core_inbox) = mpsc::channel(INBOX);
     let (runs, backend_runs) = mpsc::channel(COMMANDS);
     let (calls, backend_calls) = mpsc::channel(COMMANDS);
-    let state = State { good: false, idle: None, draining: None, open: true, unanswered: 0 };
+    let state = State { good: false, idle: None, draining: None, open: true, answered: false };
     let (state, seen) = watch::channel(state);
     let core = CoreEnds { inbox: core_inbox, runs, calls, state };
     (Exchange { inbox, state: seen }, core, BackendEnds { runs: backend_runs, calls: backend_calls })
--- /dev/null
+++ b/node/src/fronts/guests.rs
@@ -0,0 +1,133 @@
+//! The connections of a front: how many there may be at a time, and which of them goes when there is no room.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::Notify;
+
+use crate::clock::{self, Unix};
+
+/// A client owes its first message, whole, this long after it connected, and the rest of a later one this long
+/// after its beginning. Guards the room against clients that say nothing or never finish.
+pub const OWED: Duration = Duration::from_secs(2);
+
+/// What a connection has shown of itself; the least comes first, and goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Standing {
+    /// It has said nothing that could be served.
+    Stranger,
+    /// Nothing is open on it.
+    Idle,
+    /// Its peer waits for an answer.
+    Busy,
+}
+
+struct Seat {
+    standing: Standing,
+    since: Unix,
+    leave: Rc<Notify>,
+    /// It was asked to leave, so it counts no more.
+    leaving: bool,
+}
+
+/// The connections of one front.
+pub struct Guests {
+    room: usize,
+    seats: RefCell<HashMap<u64, Seat>>,
+    next: Cell<u64>,
+    gone: Notify,
+}
+
+/// A connection's seat, free again when this is dropped.
+pub struct Guest {
+    guests: Rc<Guests>,
+    number: u64,
+    leave: Rc<Notify>,
+}
+
+impl Guests {
+    /// Room for so many connections.
+    pub fn new(room: usize) -> Rc<Self> {
+        let seats = RefCell::default();
+        Rc::new(Guests { room, seats, next: Cell::new(0), gone: Notify::new() })
+    }
+
+    /// Seats one more connection. Where there is no room, a stranger or else the one idle for longest goes for
+    /// it; nothing where all are busy. Guards front ends against being shut out by those who hold connections
+    /// and ask nothing.
+    pub fn seat(self: &Rc<Self>) -> Option<Guest> {
+        let mut seats = self.seats.borrow_mut();
+        if seats.values().filter(|seat| !seat.leaving).count() >= self.room {
+            let idle = seats.values_mut().filter(|seat| !seat.leaving && seat.standing < Standing::Busy);
+            let goes = idle.min_by_key(|seat| (seat.standing, seat.since))?;
+            goes.leaving = true;
+            goes.leave.notify_one();
+        }
+        let (number, leave) = (self.next.get(), Rc::new(Notify::new()));
+        self.next.set(number + 1);
+        let (standing, since) = (Standing::Stranger, clock::now());
+        seats.insert(number, Seat { standing, since, leave: leave.clone(), leaving: false });
+        Some(Guest { guests: self.clone(), number, leave })
+    }
+
+    /// Waits until no connection is left.
+    pub async fn all_gone(&self) {
+        while !self.seats.borrow().is_empty() {
+            self.gone.notified().await;
+        }
+    }
+}
+
+impl Guest {
+    /// The connection shows this of itself from now on.
+    pub fn is(&self, standing: Standing) {
+        if let Some(seat) = self.guests.seats.borrow_mut().get_mut(&self.number) {
+            if seat.standing != standing {
+                (seat.standing, seat.since) = (standing, clock::now());
+            }
+        }
+    }
+
+    /// Waits until the connection is asked to leave. It is not if it is busy, but may have become so since.
+    pub async fn asked_to_leave(&self) {
+        self.leave.notified().await;
+    }
+}
+
+impl Drop for Guest {
+    fn drop(&mut self) {
+        self.guests.seats.borrow_mut().remove(&self.number);
+        self.guests.gone.notify_one();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use futures_util::FutureExt;
+
+    fn asked(guest: &Guest) -> bool {
+        guest.asked_to_leave().now_or_never().is_some()
+    }
+
+    #[test]
+    fn strangers_go_before_idle_ones_and_busy_ones_stay() {
+        let guests = Guests::new(3);
+        let seats: Vec<Guest> = (0..3).map(|_| guests.seat().unwrap()).collect();
+        seats[0].is(Standing::Busy);
+        seats[1].is(Standing::Idle);
+        let fourth = guests.seat().unwrap();
+        assert_eq!(seats.iter().map(asked).collect::<Vec<_>>(), [false, false, true]);
+        fourth.is(Standing::Busy);
+        drop(seats);
+        let (_fifth, sixth) = (guests.seat().unwrap(), guests.seat().unwrap());
+        sixth.is(Standing::Busy);
+        let seventh = guests.seat().unwrap();
+        seventh.is(Standing::Busy);
+        assert!(guests.seat().is_none(), "all are busy");
+        drop((fourth, sixth, seventh));
+        assert!(guests.seat().is_some());
+    }
+}
--- a/node/src/fronts/jsonrpc.rs
+++ b/node/src/fronts/jsonrpc.rs
@@ -15,7 +15,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 
-use super::Names;
+use super::guests::{Guest, Standing, OWED};
+use super::{booked, part, Names};
 use crate::clock::{self, Unix};
 use crate::exchange::{Exchange, Outcome, Request, State, Ticket};
 use crate::log;
@@ -24,14 +25,20 @@
 const MAX_OPEN: usize = 32;
 /// Longest line; a body of 2 KiB in base64 and all other fields take a quarter of it.
 const MAX_LINE: usize = 16 * 1024;
+/// Longest body.
+const MAX_BODY: usize = 2 * 1024;
+/// Longest key.
+const MAX_KEY: usize = 64;
 /// Unwritten bytes beyond which nothing more is read: guards the memory against a peer that reads nothing.
-const MAX_UNWRITTEN: usize = 256 * 1024;
+const MAX_UNWRITTEN: usize = 64 * 1024;
+/// Where nothing can be written for this long, nobody reads any more.
+const UNREAD: Duration = Duration::from_secs(5);
+/// A connection is closed after so many messages in a row that can't be served. Guards the cores against a
+/// client that sends them at full speed.
+const PATIENCE: u32 = 16;
 /// A connection that was told to take nothing new and stays idle is closed after this long.
 const LINGER: Duration = Duration::from_secs(1);
 
-/// No caller waits longer than this. Guards sums of times against overflow.
-const FOREVER: Duration = Duration::from_secs(86_400);
-
 /// Of a line that can't be served, so many bytes are logged.
 const LOGGED: usize = 120;
 
@@ -109,16 +116,26 @@
     /// The peer was told to send nothing new here.
     told: Option<Unix>,
     used: Unix,
+    guest: Guest,
+    /// A request or a check on it could be served.
+    known: bool,
+    /// When the message that has begun, or the first one, is to be whole.
+    owed: Option<Unix>,
+    /// Messages of late, in a row, that could not be served.
+    unserved: u32,
+    /// When something was last written, or began to wait for that.
+    wrote: Unix,
     /// Close once everything is answered and written.
     closing: bool,
 }
 
 /// Serves one connection to its end.
-pub async fn serve(stream: TcpStream, exchange: Exchange, names: Rc<Names>) {
+pub async fn serve(mut stream: TcpStream, guest: Guest, exchange: Exchange, names: Rc<Names>) {
     // Answers must not wait for company; a refusal of that costs time alone.
     let _ = stream.set_nodelay(true);
-    let (answers, outcomes) = mpsc::channel(MAX_OPEN);
-    let state = exchange.state();
+    // What was withdrawn may keep its place in the queue for a moment longer than it is open.
+    let (answers, outcomes) = mpsc::channel(2 * MAX_OPEN);
+    let (state, now) = (exchange.state(), clock::now());
     let mut connection = Connection {
         exchange,
         names,
@@ -128,20 +145,29 @@
         next_tag: 1,
         output: BytesMut::new(),
         told: None,
-        used: clock::now(),
+        used: now,
+        guest,
+        known: false,
+        owed: Some(now + OWED),
+        unserved: 0,
+        wrote: now,
         closing: false,
     };
     // Whatever ended the connection, nobody waits any more for what is still open on it.
-    let _ = connection.talk(stream, outcomes).await;
+    let ended = connection.talk(&mut stream, outcomes).await;
     for open in std::mem::take(&mut connection.open).into_values() {
         connection.exchange.gone(open.txn).await;
     }
+    if ended.is_ok() && connection.unserved > 0 {
+        // It is closed either way.
+        let _ = part(&mut stream).await;
+    }
 }
 
 impl Connection {
     async fn talk(
         &mut self,
-        mut stream: TcpStream,
+        stream: &mut TcpStream,
         mut outcomes: mpsc::Receiver<(u64, Outcome)>,
     ) -> io::Result<()> {
         let (mut reader, mut writer) = stream.split();
@@ -155,10 +181,21 @@
             if draining && self.told.is_none() {
                 self.tell_to_leave();
             }
+            self.check_owed(input.is_empty());
             let quiet = self.open.is_empty() && self.output.is_empty();
             if quiet && (self.closing || self.idle_over()) {
                 return Ok(());
             }
+            self.guest.is(match (self.open.is_empty(), self.known) {
+                (false, _) => Standing::Busy,
+                (true, true) => Standing::Idle,
+                (true, false) => Standing::Stranger,
+            });
+            if self.output.is_empty() {
+                self.wrote = clock::now();
+            } else if clock::now() >= self.wrote + UNREAD {
+                return Err(io::ErrorKind::TimedOut.into());
+            }
             let wake = self.next_look();
             let reading = !self.closing && self.output.len() < MAX_UNWRITTEN;
             input.reserve(4096);
@@ -168,13 +205,19 @@
                         return Ok(());
                     }
                     self.used = clock::now();
-                    self.take_lines(&mut input).await;
+                    let whole = self.take_lines(&mut input).await;
+                    // A message that goes on to come is owed from when it began.
+                    let since = if whole { None } else { self.owed };
+                    self.owed = since.or((!input.is_empty()).then(|| self.used + OWED));
                 }
                 written = writer.write_buf(&mut self.output), if !self.output.is_empty() => {
                     if written? == 0 {
                         return Err(io::ErrorKind::WriteZero.into());
                     }
+                    self.wrote = clock::now();
                 }
+                // A request that crosses this close is sent again, once.
+                () = self.guest.asked_to_leave() => self.closing |= self.open.is_empty(),
                 Some((tag, outcome)) = outcomes.recv() => {
                     self.answer(tag, outcome);
                     while let Ok((tag, outcome)) = outcomes.try_recv() {
@@ -187,17 +230,39 @@
         }
     }
 
-    /// When an idle connection is to be looked at again.
+    /// When there may be something to do though nothing happens.
     fn next_look(&self) -> Unix {
+        let unread = (!self.output.is_empty()).then_some(self.wrote + UNREAD);
+        [Some(self.idle_until()), self.owed, unread].into_iter().flatten().min().unwrap_or_default()
+    }
+
+    /// When this connection has been idle for too long.
+    fn idle_until(&self) -> Unix {
         let from = self.told.map_or(self.used, |told| told.max(self.used));
         let limit = if self.told.is_some() { Some(LINGER) } else { self.state.borrow().idle };
-        from + limit.filter(|_| self.open.is_empty()).unwrap_or(Duration::from_secs(3600))
+        // While a message is owed, that has a time of its own.
+        let quiet = self.open.is_empty() && self.output.is_empty() && self.owed.is_none();
+        from + limit.filter(|_| quiet).unwrap_or(Duration::from_secs(3600))
+    }
+
+    /// Closes a connection on which a message is overdue.
+    fn check_owed(&mut self, silent: bool) {
+        if self.owed.is_none_or(|owed| clock::now() < owed) {
+            return;
+        }
+        self.owed = None;
+        if silent {
+            self.tell_to_leave();
+        } else {
+            self.end_with("the message did not end in time");
+        }
+        self.closing = true;
     }
 
     /// Whether this idle connection is to end. It is told first, and closed only if the peer does not close
     /// it: guards a request against crossing the close.
     fn idle_over(&mut self) -> bool {
-        if clock::now() < self.next_look() {
+        if clock::now() < self.idle_until() {
             return false;
         }
         if self.told.is_none() {
@@ -212,31 +277,45 @@
         self.output.put_slice(b"{\"jsonrpc\":\"2.0\",\"method\":\"draining\"}\n");
     }
 
-    async fn take_lines(&mut self, input: &mut BytesMut) {
+    /// Takes in all whole lines; true if there was one.
+    async fn take_lines(&mut self, input: &mut BytesMut) -> bool {
+        let mut whole = false;
         while let Some(end) = input.iter().position(|b| *b == b'\n') {
+            whole = true;
             let line = input.split_to(end + 1).freeze();
             if line.len() > MAX_LINE {
-                return self.too_long();
+                self.end_with("the line is too long");
+                break;
             }
             if line.iter().all(u8::is_ascii_whitespace) {
                 continue;
             }
-            if let Err((id, (code, message))) = self.take_line(&line).await {
-                let start = line[..line.len().min(LOGGED)].escape_ascii();
-                log!("a front end sent what can't be served: {code} {message}: {start}");
-                // A notification is never answered, but one that can't be told from a request is.
-                if id != NO_ANSWER {
-                    self.put_error(&id, code, message, "");
-                }
+            let Err((id, (code, message))) = self.take_line(&line).await else {
+                self.unserved = 0;
+                continue;
+            };
+            let start = line[..line.len().min(LOGGED)].escape_ascii();
+            log!("a front end sent what can't be served: {code} {message}: {start}");
+            // A notification is never answered, but one that can't be told from a request is.
+            if id != NO_ANSWER {
+                self.put_error(&id, code, message, "");
+            }
+            self.unserved += 1;
+            if self.unserved >= PATIENCE {
+                self.end_with("too many messages that can't be served");
+                break;
             }
         }
-        if input.len() > MAX_LINE {
-            self.too_long();
+        if !self.closing && input.len() > MAX_LINE {
+            self.end_with("the line is too long");
         }
+        whole
     }
 
-    fn too_long(&mut self) {
-        self.put_error(b"null", INVALID_REQUEST, "the line is too long", "");
+    /// Reads nothing more, and closes once all that is open is answered.
+    fn end_with(&mut self, message: &str) {
+        self.put_error(&NO_ID, INVALID_REQUEST, message, "");
+        self.unserved += 1;
         self.closing = true;
     }
 
@@ -259,6 +338,7 @@
         let params = envelope.params.map_or("{}", RawValue::get);
         match &method[..] {
             "status" => {
+                self.known = true;
                 if let Some(id) = id {
                     let up = self.state.borrow().good;
                     put_result(&mut self.output, &id, |out| {
@@ -280,14 +360,15 @@
                 let Some(class) = self.names.class(class) else {
                     return Err(named((METHOD_NOT_FOUND, "no such method")));
                 };
-                // Without an id there is nothing to answer to, so nothing is begun.
-                let Some(id) = id.clone() else { return Ok(()) };
+                // Without an id there is nothing to answer to, so nothing is begun, and the client hears why.
+                let Some(id) = id.clone() else {
+                    return Err((NO_ID, (INVALID_REQUEST, "a request has an id")));
+                };
                 if self.open.values().any(|open| open.id == id) {
                     return Err((NO_ID, (INVALID_REQUEST, "the id is in use")));
                 }
                 let request = self.request(class, params, line).map_err(&named)?;
-                self.submit(id, request).await;
-                Ok(())
+                self.submit(id, request).await
             }
         }
     }
@@ -301,51 +382,62 @@
         };
         let millis =
             |ms: f64| Duration::try_from_secs_f64(ms / 1e3).map_err(|_| (INVALID_PARAMS, "no such time"));
+        let wrong = |what| Err((INVALID_PARAMS, what));
         let keyed = self.names.keyed(class);
         let key = params.unique.as_ref().filter(|_| keyed).map(slice);
-        if keyed && key.is_none() {
-            return Err((INVALID_PARAMS, "a request of this class names its unique key"));
+        if keyed && key.as_ref().is_none_or(|key| !(1..=MAX_KEY).contains(&key.len())) {
+            return wrong("a request of this class names its unique key");
+        }
+        // Guards the links, where an id is one word of a line.
+        if !is_id(&params.txn) {
+            return wrong("txn is up to 16 hex digits");
         }
-        if !is_word(&params.txn) {
-            return Err((INVALID_PARAMS, "txn is one word"));
+        if !booked(params.ram) {
+            return wrong("ram is above 0 and under 2000");
         }
-        if !(params.ram > 0.0 && params.ram.is_finite()) {
-            return Err((INVALID_PARAMS, "ram is above 0"));
+        if !(0.0..1.0).contains(&params.standing) {
+            return wrong("standing is from 0 to under 1");
         }
         // Guards the table of keys against a clock that runs ahead: what came later than an entry ended is new.
         let now = clock::now();
         let door = millis(params.door)?.min(now);
         let tenant = self.names.tenant(&params.team);
         if tenant.is_none() && !params.team.is_empty() {
-            return Err((INVALID_PARAMS, "no such team"));
+            return wrong("no such team");
         }
         let limit = millis(params.limit.ok_or((INVALID_PARAMS, "limit is missing"))?)?;
         // The text of a body is not the body, so here it does not stay a slice of what was read.
         let body =
             BASE64.decode(params.content.as_bytes()).map_err(|_| (INVALID_PARAMS, "content is base64"))?;
+        if body.len() > MAX_BODY {
+            return wrong("content is 2 KiB at most");
+        }
         Ok(Request {
             txn: slice(&params.txn),
             class,
             tenant: tenant.unwrap_or(0),
             key,
             caller: params.lb,
-            hint: params.cpu.map(millis).transpose()?,
+            hint: params.cpu.map(millis).transpose()?.map(|hint| self.names.hint(class, hint)),
             kb: params.ram,
-            rank: params.standing.clamp(0.0, 1.0),
+            rank: params.standing,
             door,
-            due: door.saturating_add(limit).min(now + FOREVER),
+            due: self.names.due(class, now, Some(door.saturating_add(limit))),
             body: body.into(),
         })
     }
 
-    async fn submit(&mut self, id: Bytes, request: Request) {
+    async fn submit(&mut self, id: Bytes, request: Request) -> Result<(), (Bytes, Problem)> {
         let tag = self.next_tag;
         self.next_tag += 1;
-        let Some(ticket) = Ticket::new(&self.answers, tag) else {
-            return self.put_refusal(&id, None, false);
+        let ticket = Ticket::new(&self.answers, tag).filter(|_| self.open.len() < MAX_OPEN);
+        let Some(ticket) = ticket else {
+            return Err((id, (INVALID_REQUEST, "32 requests are open here")));
         };
+        self.known = true;
         self.open.insert(tag, Open { id, txn: request.txn.clone() });
         self.exchange.submit(request, ticket).await;
+        Ok(())
     }
 
     async fn withdraw(&mut self, withdrawn: &Withdrawn<'_>) {
@@ -373,6 +465,9 @@
             Outcome::Refused { retry_after, stay } => self.put_refusal(&open.id, retry_after, stay),
             Outcome::Failed { overdue: false } => self.put_error(&open.id, FAILED, "failed", ""),
             Outcome::Failed { overdue: true } => self.put_error(&open.id, OVERDUE, "out of time", ""),
+            Outcome::Mismatched => {
+                self.put_error(&open.id, INVALID_PARAMS, "unique is the key of another body", "");
+            }
         }
     }
 
@@ -396,9 +491,8 @@
     json.trim_ascii_start().first() == Some(&b'{')
 }
 
-/// A word that the links can carry.
-fn is_word(text: &str) -> bool {
-    (1..=64).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_graphic())
+fn is_id(text: &str) -> bool {
+    (1..=16).contains(&text.len()) && text.bytes().all(|b| b.is_ascii_hexdigit())
 }
 
 fn put_result(output: &mut BytesMut, id: &[u8], result: impl FnOnce(&mut BytesMut)) {
--- a/node/src/fronts/mod.rs
+++ b/node/src/fronts/mod.rs
@@ -1,12 +1,22 @@
 //! The server side: what clients speak to.
 
+pub mod guests;
 pub mod jsonrpc;
 pub mod uwsgi;
 
+use std::io;
 use std::time::Duration;
 
 use swiftwinch::Effect;
 use swiftwinch_settings::Parsed;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::clock::{self, Unix};
+
+/// How long, and how often, a connection is read from after its last answer.
+const PARTING: Duration = Duration::from_millis(200);
+const PARTING_READS: u32 = 32;
 
 /// What the fronts need of the settings: the names that their fields go by, and the classes' habits.
 #[derive(Debug)]
@@ -34,16 +44,49 @@
     }
 
     /// How long the callers of a class wait altogether.
-    pub fn deadline(&self, class: u16) -> Duration {
+    fn deadline(&self, class: u16) -> Duration {
         self.classes.get(usize::from(class)).map_or(Duration::ZERO, |c| c.2)
     }
 
+    /// When a request's caller stops waiting: when it says, but no later than any caller of its class would.
+    /// Guards the hold against requests that would stay in it for ever, and sums of times against overflow.
+    pub fn due(&self, class: u16, now: Unix, wanted: Option<Unix>) -> Unix {
+        let latest = now + self.deadline(class);
+        wanted.map_or(latest, |wanted| wanted.min(latest))
+    }
+
+    /// A request's hint of its work, within reason. Guards the mean of the hints, and so everyone's estimates,
+    /// against one absurd hint.
+    pub fn hint(&self, class: u16, hint: Duration) -> Duration {
+        hint.min(self.deadline(class))
+    }
+
     /// The position of a tenant.
     pub fn tenant(&self, name: &str) -> Option<u16> {
         position(self.tenants.iter(), name)
     }
 }
 
+/// Closes a connection so that its last answer arrives: over unread bytes the system would reset it. What a
+/// client goes on to send is read for a moment and no further.
+async fn part(stream: &mut TcpStream) -> io::Result<()> {
+    stream.shutdown().await?;
+    let until = clock::now() + PARTING;
+    let mut rest = [0; 4096];
+    for _ in 0..PARTING_READS {
+        tokio::select! {
+            read = stream.read(&mut rest) => if read? == 0 { return Ok(()) },
+            () = clock::until(until) => return Ok(()),
+        }
+    }
+    Ok(())
+}
+
+/// Whether so many KB may be booked for a request. Guards the sum of what is booked.
+fn booked(kb: f64) -> bool {
+    kb > 0.0 && kb < 2_000.0
+}
+
 fn position<'a>(mut names: impl Iterator<Item = &'a String>, name: &str) -> Option<u16> {
     names.position(|n| n == name).and_then(|position| u16::try_from(position).ok())
 }
--- a/node/src/fronts/uwsgi.rs
+++ b/node/src/fronts/uwsgi.rs
@@ -19,7 +19,8 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
-use super::Names;
+use super::guests::{Guest, Standing, OWED};
+use super::{booked, part, Names};
 use crate::clock::{self, Unix};
 use crate::exchange::{Exchange, Outcome, Request, Ticket};
 use crate::log;
@@ -28,8 +29,8 @@
 /// The most bytes of variables and of body.
 const MAX_VARS: usize = 16 * 1024;
 const MAX_BODY: usize = 64 * 1024;
-/// The longest that a request may take to come in. Guards the connections against clients that never finish.
-const READING: Duration = Duration::from_secs(5);
+/// Longest key.
+const MAX_KEY: usize = 256;
 /// The longest that an answer may take to be read.
 const WRITING: Duration = Duration::from_secs(5);
 /// The memory booked for a request that does not say.
@@ -81,18 +82,23 @@
 }
 
 /// Serves one connection to its end.
-pub async fn serve(mut stream: TcpStream, front: Rc<Front>) {
+pub async fn serve(mut stream: TcpStream, guest: Guest, front: Rc<Front>) {
     // What breaks a connection owes its client nothing more.
-    if let Err(e) = talk(&mut stream, &front).await {
+    if let Err(e) = talk(&mut stream, &guest, &front).await {
         log!("uwsgi: a connection ended early: {e}");
     }
 }
 
-async fn talk(stream: &mut TcpStream, front: &Front) -> io::Result<()> {
+async fn talk(stream: &mut TcpStream, guest: &Guest, front: &Front) -> io::Result<()> {
+    let mut input = BytesMut::with_capacity(4096);
     let read = tokio::select! {
-        read = read_request(stream) => read?,
-        () = clock::until(clock::now() + READING) => return Err(io::ErrorKind::TimedOut.into()),
+        read = read_request(stream, &mut input) => read?,
+        () = guest.asked_to_leave() => return Ok(()),
+        () = clock::until(clock::now() + OWED) => {
+            Err(Problem::BadRequest("the request did not come whole in time"))
+        }
     };
+    guest.is(Standing::Busy);
     let response = match read.and_then(|(vars, body)| front.asked(&vars, body, clock::now())) {
         Ok(Asked::Status) if front.exchange.state().borrow().good => response(200, "OK", "", b"up\n"),
         Ok(Asked::Status) => response(503, "Service Unavailable", "Retry-After: 1\r\n", b"down\n"),
@@ -113,28 +119,23 @@
         written = stream.write_all(&response) => written?,
         () = clock::until(clock::now() + WRITING) => return Err(io::ErrorKind::TimedOut.into()),
     }
-    stream.shutdown().await?;
-    // Guards the answer against the reset that closing over unread bytes would cause.
-    let mut rest = [0; 1024];
-    tokio::select! {
-        () = async { while stream.read(&mut rest).await.is_ok_and(|n| n > 0) {} } => {}
-        () = clock::until(clock::now() + Duration::from_millis(200)) => {}
-    }
-    Ok(())
+    part(stream).await
 }
 
 /// Reads a whole request; one that is cut off is an error and begins nothing.
-async fn read_request(stream: &mut TcpStream) -> io::Result<Result<(Vars, Bytes), Problem>> {
-    let mut input = BytesMut::with_capacity(4096);
-    read_to(stream, &mut input, HEAD).await?;
-    let Some(head) = Head::parse(&input) else { return Ok(Err(Problem::BadRequest("no head"))) };
+async fn read_request(
+    stream: &mut TcpStream,
+    input: &mut BytesMut,
+) -> io::Result<Result<(Vars, Bytes), Problem>> {
+    read_to(stream, input, HEAD).await?;
+    let Some(head) = Head::parse(input) else { return Ok(Err(Problem::BadRequest("no head"))) };
     if (head.modifier1, head.modifier2) != (0, 0) {
         return Ok(Err(Problem::BadRequest("modifiers other than 0")));
     }
     if head.size > MAX_VARS {
         return Ok(Err(Problem::TooLarge("too many variables")));
     }
-    read_to(stream, &mut input, HEAD + head.size).await?;
+    read_to(stream, input, HEAD + head.size).await?;
     let block = input.split_to(HEAD + head.size).freeze().slice(HEAD..);
     let Some(vars) = Vars::parse(block) else {
         return Ok(Err(Problem::BadRequest("lengths that do not add up")));
@@ -145,7 +146,7 @@
         Some(Ok(_)) => return Ok(Err(Problem::TooLarge("the body is too long"))),
         Some(Err(_)) => return Ok(Err(Problem::BadRequest("CONTENT_LENGTH is a number"))),
     };
-    read_to(stream, &mut input, length).await?;
+    read_to(stream, input, length).await?;
     Ok(Ok((vars, input.split_to(length).freeze())))
 }
 
@@ -172,28 +173,31 @@
         if self.names.keyed(class) && key.is_none() {
             return Err(Problem::BadRequest("a request of this class needs an Idempotency-Key"));
         }
+        if key.is_some_and(|key| key.len() > MAX_KEY) {
+            return Err(Problem::BadRequest("the key is too long"));
+        }
         let tenant = match vars.text("HTTP_X_TENANT") {
             Some(name) => self.names.tenant(name).ok_or(Problem::BadRequest("no such tenant"))?,
             // No position in the list, so it counts to no share.
             None => u16::MAX,
         };
-        let most = self.names.deadline(class);
-        let latest = now + most;
         let deadline = number(vars, "HTTP_X_DEADLINE")?.map(Duration::from_millis);
-        // Guards the mean of the hints, and so everyone's estimates, against one absurd hint.
-        let hint = number(vars, "HTTP_X_COST")?.map(|ms| Duration::from_millis(ms).min(most));
+        let hint = number(vars, "HTTP_X_COST")?.map(Duration::from_millis);
         let kb = number(vars, "HTTP_X_RAM")?.map_or(USUAL_KB, |kb| kb as f64);
+        if !booked(kb) {
+            return Err(Problem::BadRequest("HTTP_X_RAM is above 0 and under 2000"));
+        }
         Ok(Asked::Run(Request {
             txn: self.ids.next(),
             class,
             tenant,
             key: key.cloned(),
             caller: CALLER,
-            hint,
-            kb: kb.max(1.0),
+            hint: hint.map(|hint| self.names.hint(class, hint)),
+            kb,
             rank: 0.5,
             door: now,
-            due: deadline.map_or(latest, |deadline| deadline.min(latest)),
+            due: self.names.due(class, now, deadline),
             body,
         }))
     }
@@ -234,6 +238,7 @@
         }
         Outcome::Failed { overdue: false } => response(500, "Internal Server Error", "", b"failed\n"),
         Outcome::Failed { overdue: true } => response(504, "Gateway Timeout", "", b"out of time\n"),
+        Outcome::Mismatched => response(400, "Bad Request", "", b"the key is that of another body\n"),
     }
 }
 
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -4,13 +4,12 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::FutureExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::{watch, Semaphore};
+use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
 
 use crate::backends::call;
@@ -20,6 +19,7 @@
 use crate::config::{Config, Files, Links, Uwsgi};
 use crate::core::Core;
 use crate::exchange::{self, Exchange, State};
+use crate::fronts::guests::{Guest, Guests};
 use crate::fronts::uwsgi::{self, Front, Ids};
 use crate::fronts::{jsonrpc, Names};
 use crate::{clock, log, membership, vrrp};
@@ -51,7 +51,7 @@
     let listener = bind("listen", config.listen).await?;
     let names = Rc::new(Names::new(settings));
     let Room { platform, second, backends: each } = Room::new(config.sockets, uwsgi.is_some());
-    let (platform_room, second_room) = (Arc::new(Semaphore::new(platform)), Arc::new(Semaphore::new(second)));
+    let (platform, second) = (Guests::new(platform), Guests::new(second));
     if let Some(uwsgi) = &uwsgi {
         let ids = Ids::new(config.seed ^ u64::from(clock::now().subsec_nanos()));
         let front = Rc::new(Front { exchange: exchange.clone(), names: names.clone(), ids });
@@ -69,7 +69,7 @@
                 watch::channel(true).1
             }
         };
-        spawn_local(while_active(uwsgi.listen, active, exchange.clone(), second_room.clone(), front));
+        spawn_local(while_active(uwsgi.listen, active, exchange.clone(), second.clone(), front));
     }
     let begun = links.borrow().clone();
     if begun.runs.is_empty() {
@@ -90,19 +90,16 @@
     log!("{} serves JSON-RPC at {}", config.name, address(&listener));
     let front = {
         let exchange = exchange.clone();
-        move |stream| jsonrpc::serve(stream, exchange.clone(), names.clone())
+        move |stream, guest| jsonrpc::serve(stream, guest, exchange.clone(), names.clone())
     };
     let open = exchange.state();
-    spawn_local(accept(listener, while_open(open), platform_room.clone(), front));
+    spawn_local(accept(listener, while_open(open), platform.clone(), front));
     let Signals { notice, hangup } = signals;
     let draining = async {
         notice.await;
         let stop = clock::now() + config.stop;
         exchange.drain(stop).await;
-        let closed = async {
-            let _ = platform_room.acquire_many(platform as u32).await;
-            let _ = second_room.acquire_many(second as u32).await;
-        };
+        let closed = async { tokio::join!(platform.all_gone(), second.all_gone()) };
         drained(&exchange, stop, closed).await;
     };
     tokio::select! {
@@ -176,7 +173,7 @@
     listen: SocketAddr,
     mut active: watch::Receiver<bool>,
     exchange: Exchange,
-    room: Arc<Semaphore>,
+    guests: Rc<Guests>,
     front: Rc<Front>,
 ) {
     let mut leaves = exchange.state();
@@ -207,7 +204,8 @@
             }
         };
         let front = front.clone();
-        accept(listener, until, room.clone(), move |stream| uwsgi::serve(stream, front.clone())).await;
+        let serve = move |stream, guest| uwsgi::serve(stream, guest, front.clone());
+        accept(listener, until, guests.clone(), serve).await;
         log!("uwsgi is no longer served at {listen}");
     }
 }
@@ -238,7 +236,7 @@
 async fn drained(exchange: &Exchange, stop: clock::Unix, closed: impl Future) {
     let mut state = exchange.state();
     let over = async {
-        let answered = state.wait_for(|state| !state.open && state.unanswered == 0).await;
+        let answered = state.wait_for(|state| !state.open && state.answered).await;
         drop(answered);
         closed.await;
     };
@@ -248,32 +246,29 @@
     }
 }
 
-/// Accepts connections until then, no more at a time than there is room for.
+/// Accepts connections until then; one for which no other makes room is closed at once.
 async fn accept<F: Future<Output = ()> + 'static>(
     listener: TcpListener,
     until: impl Future<Output = ()>,
-    room: Arc<Semaphore>,
-    serve: impl Fn(TcpStream) -> F,
+    guests: Rc<Guests>,
+    serve: impl Fn(TcpStream, Guest) -> F,
 ) {
     tokio::pin!(until);
-    let start = |stream, room| {
-        let served = serve(stream);
-        spawn_local(async move {
-            served.await;
-            drop(room);
-        });
+    let start = |stream| match guests.seat() {
+        Some(guest) => drop(spawn_local(serve(stream, guest))),
+        None => log!("a connection was closed at once: every other one is busy"),
     };
     loop {
-        let accepted = async {
-            let room = room.clone().acquire_owned().await.map_err(io::Error::other)?;
-            Ok::<_, io::Error>((listener.accept().await?.0, room))
-        };
         let accepted = tokio::select! {
-            accepted = accepted => accepted,
+            accepted = listener.accept() => accepted,
             () = &mut until => break,
         };
         match accepted {
-            Ok((stream, room)) => start(stream, room),
+            Ok((stream, _)) => {
+                start(stream);
+                // Who was asked to leave does so first: guards the number of descriptors.
+                tokio::task::yield_now().await;
+            }
             Err(e) => {
                 // Guards the core against spinning while the system has no descriptors left.
                 log!("a connection was not accepted: {e}");
@@ -282,8 +277,7 @@
         }
     }
     // Guards requests on connections that the system took before the listener closes: they are still read.
-    while let Ok(room) = room.clone().try_acquire_owned() {
-        let Some(Ok((stream, _))) = listener.accept().now_or_never() else { return };
-        start(stream, room);
+    while let Some(Ok((stream, _))) = listener.accept().now_or_never() {
+        start(stream);
     }
 }
--- a/node/tests/sockets/jsonrpc.rs
+++ b/node/tests/sockets/jsonrpc.rs
@@ -21,19 +21,32 @@
     let (mut node, _vm, _link) = Node::with_interpreter("", None);
     let mut client = node.client();
     let mut answers = Vec::new();
+    let asks = |id: u32, method: &str, extra: &str| {
+        format!(
+            r#"{{"jsonrpc":"2.0","id":{id},"method":"{method}","params":{{"txn":"a","door":1,"limit":1,"ram":1{extra}}}}}"#
+        )
+    };
     for line in [
         "{\"jsonrpc\":",
         "\u{0}\u{fffd}",
         "[]",
         r#"{"id":1}"#,
         r#"{"jsonrpc":"1.0","id":1,"method":"quote"}"#,
+        r#"{"jsonrpc":"2.0","method":"quote","params":{"txn":"a","door":1,"limit":1,"ram":1}}"#,
         r#"{"jsonrpc":"2.0","id":2,"method":"paint","params":{}}"#,
         r#"{"jsonrpc":"2.0","id":3,"method":"quote","params":{"txn":"a"}}"#,
-        r#"{"jsonrpc":"2.0","id":4,"method":"quote","params":{"txn":"a b","door":1,"limit":1,"ram":1}}"#,
-        r#"{"jsonrpc":"2.0","id":5,"method":"book","params":{"txn":"a","door":1,"limit":1,"ram":1}}"#,
-        r#"{"jsonrpc":"2.0","id":6,"method":"quote","params":{"txn":"a","door":1,"limit":1,"ram":1,"content":"?"}}"#,
-        r#"{"jsonrpc":"2.0","id":7,"method":"withdraw","params":{}}"#,
+        &asks(4, "quote", "").replace("\"a\"", "\"a b\""),
+        &asks(5, "book", ""),
+        &asks(6, "quote", r#","content":"?""#),
         r#"{"jsonrpc":"2.0","id":8,"method":"status"}"#,
+        r#"{"jsonrpc":"2.0","id":9,"method":"withdraw","params":{}}"#,
+        &asks(10, "quote", "").replace("\"ram\":1", "\"ram\":2000"),
+        &asks(11, "quote", "").replace("\"limit\":1", "\"limit\":-1"),
+        &asks(12, "quote", r#","standing":1.5"#),
+        &asks(13, "quote", r#","lb":-3"#),
+        &asks(14, "quote", r#","team":"nobody""#),
+        &asks(15, "book", &format!(r#","unique":"{}""#, "k".repeat(65))),
+        &asks(16, "quote", &format!(r#","content":"{}""#, "AAAA".repeat(700))),
     ] {
         client.say(format!("{line}\n"));
         answers.push(client.line());
@@ -44,13 +57,21 @@
     {"jsonrpc":"2.0","id":null,"error":{"code":-32600,"message":"not a request"}}
     {"jsonrpc":"2.0","id":null,"error":{"code":-32600,"message":"not a JSON-RPC 2.0 request"}}
     {"jsonrpc":"2.0","id":null,"error":{"code":-32600,"message":"not a JSON-RPC 2.0 request"}}
+    {"jsonrpc":"2.0","id":null,"error":{"code":-32600,"message":"a request has an id"}}
     {"jsonrpc":"2.0","id":2,"error":{"code":-32601,"message":"no such method"}}
     {"jsonrpc":"2.0","id":3,"error":{"code":-32602,"message":"a field is missing or of another kind"}}
-    {"jsonrpc":"2.0","id":4,"error":{"code":-32602,"message":"txn is one word"}}
+    {"jsonrpc":"2.0","id":4,"error":{"code":-32602,"message":"txn is up to 16 hex digits"}}
     {"jsonrpc":"2.0","id":5,"error":{"code":-32602,"message":"a request of this class names its unique key"}}
     {"jsonrpc":"2.0","id":6,"error":{"code":-32602,"message":"content is base64"}}
-    {"jsonrpc":"2.0","id":7,"error":{"code":-32602,"message":"withdraw names an id or a txn"}}
     {"jsonrpc":"2.0","id":8,"result":{"up":true}}
+    {"jsonrpc":"2.0","id":9,"error":{"code":-32602,"message":"withdraw names an id or a txn"}}
+    {"jsonrpc":"2.0","id":10,"error":{"code":-32602,"message":"ram is above 0 and under 2000"}}
+    {"jsonrpc":"2.0","id":11,"error":{"code":-32602,"message":"no such time"}}
+    {"jsonrpc":"2.0","id":12,"error":{"code":-32602,"message":"standing is from 0 to under 1"}}
+    {"jsonrpc":"2.0","id":13,"error":{"code":-32602,"message":"a field is missing or of another kind"}}
+    {"jsonrpc":"2.0","id":14,"error":{"code":-32602,"message":"no such team"}}
+    {"jsonrpc":"2.0","id":15,"error":{"code":-32602,"message":"a request of this class names its unique key"}}
+    {"jsonrpc":"2.0","id":16,"error":{"code":-32602,"message":"content is 2 KiB at most"}}
     "#);
     // A notification gets no answer, however wrong; the next line shows it.
     client.say("{\"jsonrpc\":\"2.0\",\"method\":\"withdraw\"}\n{\"jsonrpc\":\"2.0\",\"id\":9,\"method\":\"status\"}\n");
@@ -58,6 +79,22 @@
     client.say("x".repeat(20_000));
     insta::assert_snapshot!(client.rest(), @r#"{"jsonrpc":"2.0","id":null,"error":{"code":-32600,"message":"the line is too long"}}"#);
     node.logs("can't be served");
+    // Who sends nothing else is not listened to for ever, nor is who never ends a message or says nothing.
+    let mut client = node.client();
+    client.say("?\n".repeat(100));
+    assert_eq!(client.rest().lines().count(), 17);
+    let (mut silent, mut slow) = (node.client(), node.client());
+    slow.say("{\"jsonrpc\":");
+    insta::assert_snapshot!(slow.rest(), @r#"{"jsonrpc":"2.0","id":null,"error":{"code":-32600,"message":"the message did not end in time"}}"#);
+    insta::assert_snapshot!(silent.rest(), @r#"{"jsonrpc":"2.0","method":"draining"}"#);
+}
+
+#[test]
+fn one_front_end_may_not_open_more_than_32_requests_on_a_connection() {
+    let (node, _vm, _link) = Node::with_interpreter("", None);
+    let mut client = node.client();
+    (1..=33).for_each(|id| client.request(id, &format!("a{id}"), None, LONG));
+    insta::assert_snapshot!(client.line(), @r#"{"jsonrpc":"2.0","id":33,"error":{"code":-32600,"message":"32 requests are open here"}}"#);
 }
 
 #[test]
--- a/node/tests/sockets/uwsgi.rs
+++ b/node/tests/sockets/uwsgi.rs
@@ -221,3 +221,59 @@
     vm.value(2, &id, "done", "ok");
     assert_eq!(brief(&client.rest()), "HTTP/1.1 200 OK | Content-Length: 2 | ok");
 }
+
+#[test]
+fn a_key_with_another_body_gets_no_result_over_either_front() {
+    let (mut node, _vm, mut vm) = Node::with_interpreter("", Some(FRONT));
+    let other = packet(&[("PATH_INFO", "/book"), ("HTTP_IDEMPOTENCY_KEY", "one")], "another body");
+    let address = node.uwsgi();
+    let (mut json, mut uwsgi) = (node.client(), Peer::connect(address));
+    json.request(1, "a1", Some("one"), LONG);
+    let (ran, ..) = vm.apply();
+    uwsgi.say(&other);
+    assert_eq!(
+        brief(&uwsgi.rest()),
+        "HTTP/1.1 400 Bad Request | Content-Length: 32 | the key is that of another body"
+    );
+    vm.value(1, &ran, "done", "job 5");
+    assert!(json.line().contains("result"));
+    let mut uwsgi = Peer::connect(address);
+    uwsgi.say(&other);
+    assert!(uwsgi.rest().starts_with("HTTP/1.1 400 "), "nor when the result is there");
+    json.say(JSON_OTHER);
+    insta::assert_snapshot!(json.line(), @r#"{"jsonrpc":"2.0","id":2,"error":{"code":-32602,"message":"unique is the key of another body"}}"#);
+}
+
+const JSON_OTHER: &str = concat!(
+    r#"{"jsonrpc":"2.0","id":2,"method":"book","params":{"txn":"a2","door":1e12,"limit":1e12,"ram":1,"#,
+    r#""unique":"one","content":"eHg="}}"#,
+    "\n"
+);
+
+#[test]
+fn clients_that_say_nothing_shut_nobody_out_of_either_front() {
+    let vm = Server::new();
+    let few = config(&format!(r#""limits": {{"sockets": 40}}, "vm": "{}","#, vm.address));
+    let mut node = Node::start(&few, Some(FRONT));
+    let mut link = vm.interpreter("0");
+    let address = node.uwsgi();
+    // Both fronts together have 16 connections here.
+    let mut silent: Vec<Peer> = (0..16).flat_map(|_| [node.client(), Peer::connect(address)]).collect();
+    let (mut json, mut uwsgi) = (node.client(), Peer::connect(address));
+    json.request(1, "a1", None, LONG);
+    uwsgi.say(quote());
+    for notice in [1, 2] {
+        let (id, ..) = link.apply();
+        link.value(notice, &id, "done", "x");
+    }
+    assert!(json.line().contains("result"));
+    assert!(uwsgi.rest().starts_with("HTTP/1.1 200 "));
+    assert!(silent[0].closed() && silent[1].closed(), "the oldest went for the last");
+    // Half a request gets an answer when it is overdue.
+    let mut slow = Peer::connect(address);
+    slow.say([0, 9]);
+    assert_eq!(
+        brief(&slow.rest()),
+        "HTTP/1.1 400 Bad Request | Content-Length: 38 | the request did not come whole in time"
+    );
+}
