Count connections until they have left, and idle ones to the index, against the descriptors

Read from the source: a connection that was asked to leave counted no more, but stayed if a request had come meanwhile, and one that was being closed after an error did not listen for 200 ms; each was one descriptor over the front's room. The connections kept idle to the index came on top of those that its bound allows: at 384 descriptors 416 could be open at the worst. A seat that turns busy counts again, closing after an error ends when room is needed, and a quarter of the index's share is for idle connections, which are let go within a second.

--- a/node/src/backends/index.rs
+++ b/node/src/backends/index.rs
@@ -22,8 +22,6 @@
 /// A connection is used again only if it has been idle for less. Guards calls against crossing the close of an
 /// idle connection, which would prove nothing about them.
 const IDLE: Duration = Duration::from_millis(250);
-/// Connections that are kept idle.
-const MOST_IDLE: usize = 32;
 /// A call without a reply is given up this long after its time, for the index says itself that it was slow.
 const SILENT: Duration = Duration::from_millis(150);
 /// A reply that has begun is whole after this long, or never.
@@ -44,35 +42,36 @@
     links: watch::Receiver<Links>,
     /// The last one used comes last.
     idle: RefCell<Vec<Idle>>,
+    most_idle: usize,
 }
 
 impl Index {
-    /// The index at the address of the day; without one, no call reaches anybody.
-    pub fn new(links: watch::Receiver<Links>) -> Rc<Self> {
-        Rc::new(Index { links, idle: RefCell::default() })
+    /// The index at the address of the day; without one, no call reaches anybody. So many connections at the
+    /// most are kept idle.
+    pub fn new(links: watch::Receiver<Links>, most_idle: usize) -> Rc<Self> {
+        Rc::new(Index { links, idle: RefCell::default(), most_idle })
     }
 
     /// A connection that can be used again, if there is one.
-    fn kept(&self, address: SocketAddr, txn: &Bytes) -> Option<Link> {
+    fn kept(&self, txn: &Bytes) -> Option<Link> {
+        self.tidy();
         let mut idle = self.idle.borrow_mut();
-        let oldest = clock::now().saturating_sub(IDLE);
-        idle.retain(|kept| kept.since > oldest && kept.address == address && kept.link.silent());
         let fits = idle.iter().rposition(|kept| kept.last != txn)?;
         Some(idle.remove(fits).link)
     }
 
-    fn keep(self: &Rc<Self>, link: Link, address: SocketAddr, last: Bytes) {
+    fn keep(&self, link: Link, address: SocketAddr, last: Bytes) {
         let mut idle = self.idle.borrow_mut();
         // What comes beside a reply belongs to no call.
-        if !link.input.is_empty() || idle.len() >= MOST_IDLE {
+        if !link.input.is_empty() || idle.len() >= self.most_idle {
             return;
         }
         idle.push(Idle { link, address, since: clock::now(), last });
     }
 
-    async fn ask(self: &Rc<Self>, txn: &Bytes, body: &[u8], until: Unix) -> io::Result<CallEnd> {
+    async fn ask(&self, txn: &Bytes, body: &[u8], until: Unix) -> io::Result<CallEnd> {
         let Some(address) = self.links.borrow().index else { return Ok(CallEnd::Unreachable) };
-        let mut link = match self.kept(address, txn) {
+        let mut link = match self.kept(txn) {
             Some(link) => link,
             None => match TcpStream::connect(address).await {
                 Ok(stream) => Link::new(stream),
@@ -122,4 +121,11 @@
             CallEnd::CutOff
         })
     }
+
+    fn tidy(&self) {
+        let oldest = clock::now().saturating_sub(IDLE);
+        let address = self.links.borrow().index;
+        let fresh = |kept: &Idle| kept.since > oldest && Some(kept.address) == address;
+        self.idle.borrow_mut().retain(|kept| fresh(kept) && kept.link.silent());
+    }
 }
--- a/node/src/backends/mod.rs
+++ b/node/src/backends/mod.rs
@@ -9,6 +9,7 @@
 use std::future::Future;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::sync::{mpsc, Semaphore};
@@ -17,6 +18,9 @@
 use crate::clock::{self, Unix};
 use crate::exchange::{CallCommand, CallEnd, Exchange, Report, Request};
 
+/// Without calls for this long, what was kept for them is looked at.
+const TIDY: Duration = Duration::from_secs(1);
+
 /// Exchanges under way, by the request that each is for; each has a connection of its own.
 struct UnderWay<T> {
     tasks: JoinSet<(Bytes, T)>,
@@ -75,6 +79,9 @@
 pub trait Callee {
     /// Makes a call and waits for its end, until then at the latest.
     fn call(self: Rc<Self>, request: Rc<Request>, body: Bytes, until: Unix) -> impl Future<Output = CallEnd>;
+
+    /// Lets go of what is of no more use; asked now and then.
+    fn tidy(&self) {}
 }
 
 /// Makes calls for as long as there are any to come, over so many connections at the most.
@@ -96,6 +103,7 @@
                 Some(CallCommand::GiveUp(txn)) => drop(under_way.give_up(&txn)),
             },
             (txn, end) = under_way.next() => exchange.report(Report::CallEnded(txn, end)).await,
+            () = clock::until(clock::now() + TIDY) => callee.tidy(),
         }
     }
 }
--- a/node/src/fronts/guests.rs
+++ b/node/src/fronts/guests.rs
@@ -87,6 +87,8 @@
             if seat.standing != standing {
                 (seat.standing, seat.since) = (standing, clock::now());
             }
+            // A request came before it left, so it stays, and counts.
+            seat.leaving &= standing < Standing::Busy;
         }
     }
 
@@ -127,7 +129,12 @@
         let seventh = guests.seat().unwrap();
         seventh.is(Standing::Busy);
         assert!(guests.seat().is_none(), "all are busy");
-        drop((fourth, sixth, seventh));
-        assert!(guests.seat().is_some());
+        drop((fourth, sixth));
+        let (last, other) = (guests.seat().unwrap(), guests.seat().unwrap());
+        other.is(Standing::Busy);
+        let newest = guests.seat().unwrap();
+        // A request came on the one that was asked to leave: it stays, and counts.
+        last.is(Standing::Busy);
+        assert!(guests.seat().is_some() && asked(&newest));
     }
 }
--- a/node/src/fronts/jsonrpc.rs
+++ b/node/src/fronts/jsonrpc.rs
@@ -160,7 +160,7 @@
     }
     if ended.is_ok() && connection.unserved > 0 {
         // It is closed either way.
-        let _ = part(&mut stream).await;
+        let _ = part(&mut stream, &connection.guest).await;
     }
 }
 
@@ -225,7 +225,7 @@
                 }
                 // Comes after reading: guards what has come already. A request that crosses the close is sent
                 // again, once.
-                () = self.guest.asked_to_leave() => self.closing |= self.open.is_empty() && input.is_empty(),
+                () = self.guest.asked_to_leave() => self.closing |= self.open.is_empty(),
                 changed = self.state.changed() => if changed.is_err() { return Ok(()) },
                 () = clock::until(wake) => {}
             }
--- a/node/src/fronts/mod.rs
+++ b/node/src/fronts/mod.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpStream;
 
 use crate::clock::{self, Unix};
+use guests::{Guest, Standing};
 
 /// How long, and how often, a connection is read from after its last answer.
 const PARTING: Duration = Duration::from_millis(200);
@@ -68,14 +69,16 @@
 }
 
 /// Closes a connection so that its last answer arrives: over unread bytes the system would reset it. What a
-/// client goes on to send is read for a moment and no further.
-async fn part(stream: &mut TcpStream) -> io::Result<()> {
+/// client goes on to send is read for a moment and no further, and only while there is room.
+async fn part(stream: &mut TcpStream, guest: &Guest) -> io::Result<()> {
     stream.shutdown().await?;
+    guest.is(Standing::Stranger);
     let until = clock::now() + PARTING;
     let mut rest = [0; 4096];
     for _ in 0..PARTING_READS {
         tokio::select! {
             read = stream.read(&mut rest) => if read? == 0 { return Ok(()) },
+            () = guest.asked_to_leave() => return Ok(()),
             () = clock::until(until) => return Ok(()),
         }
     }
--- a/node/src/fronts/uwsgi.rs
+++ b/node/src/fronts/uwsgi.rs
@@ -119,7 +119,7 @@
         written = stream.write_all(&response) => written?,
         () = clock::until(clock::now() + WRITING) => return Err(io::ErrorKind::TimedOut.into()),
     }
-    part(stream).await
+    part(stream, guest).await
 }
 
 /// Reads a whole request; one that is cut off is an error and begins nothing.
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -45,7 +45,7 @@
 
 async fn run(files: &Files, config: Config, uwsgi: Option<Uwsgi>) -> Result<(), String> {
     // Comes first: a signal that nobody hears yet would end the process.
-    let signals = Signals::new().map_err(|e| format!("no signals: {e}"))?;
+    let (notice, hangup) = signals().map_err(|e| format!("no signals: {e}"))?;
     let (exchange, core, backends) = exchange::new();
     let (changed, links) = watch::channel(config.links);
     let settings = &config.settings;
@@ -82,7 +82,9 @@
         spawn_local(client::run(servers, exchange.clone(), backends.runs, each));
     }
     if begun.calls.is_empty() {
-        spawn_local(call(Index::new(links.clone()), exchange.clone(), backends.calls, each));
+        let idle = each / 4;
+        let index = Index::new(links.clone(), idle);
+        spawn_local(call(index, exchange.clone(), backends.calls, each - idle));
     } else {
         let servers = Servers::new(links.clone(), |links| &links.calls, settings);
         spawn_local(call(servers, exchange.clone(), backends.calls, each));
@@ -96,7 +98,6 @@
     };
     let open = exchange.state();
     spawn_local(accept(listener, while_open(open), platform.clone(), front));
-    let Signals { notice, hangup } = signals;
     let draining = async {
         notice.await;
         let stop = clock::now() + config.stop;
@@ -212,25 +213,16 @@
     }
 }
 
-/// The signals that the process hears.
-struct Signals<F> {
-    /// The notice to leave.
-    notice: F,
-    /// The notice to reload.
-    hangup: Signal,
-}
-
-impl Signals<()> {
-    fn new() -> io::Result<Signals<impl Future<Output = ()>>> {
-        let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
-        let notice = async move {
-            tokio::select! {
-                _ = term.recv() => {}
-                _ = int.recv() => {}
-            }
-        };
-        Ok(Signals { notice, hangup: signal(SignalKind::hangup())? })
-    }
+/// From now on hears the notice to leave, which the first ends at, and the notices to reload.
+fn signals() -> io::Result<(impl Future<Output = ()>, Signal)> {
+    let (mut term, mut int) = (signal(SignalKind::terminate())?, signal(SignalKind::interrupt())?);
+    let notice = async move {
+        tokio::select! {
+            _ = term.recv() => {}
+            _ = int.recv() => {}
+        }
+    };
+    Ok((notice, signal(SignalKind::hangup())?))
 }
 
 /// Waits until nothing more comes in, all that was read is answered and every connection is closed, or the
