End what begins and never ends on the links: a reply its call, a notice its link

Read from the source: index.rs took the first partial bytes of a connection as the beginning of the reply, also when they were another call's that came in pieces, and gave the call up 600 ms later though its own reply was still to come; it then said that the call had been slow, where it was spoilt. interpreter.rs waited for ever for the rest of a notice. A message's time is now counted from its own beginning, and a link that stalls in one for 2 s is made anew; what had begun is read again, as the number of the last whole notice is what is reported.

Both tests wait for events alone and fail on the sources before this.

--- a/node/src/backends/index.rs
+++ b/node/src/backends/index.rs
@@ -84,7 +84,7 @@
         };
         let left = until.saturating_sub(clock::now()).as_millis().max(1).to_string();
         put(&mut link.output, &[b"GET", txn, left.as_bytes()], Some(body));
-        let mut whole_by = until + SILENT;
+        let mut begun = None;
         loop {
             while let Some(message) = lines::take(&mut link.input, |words| words.nth(1) == Some(b"HIT"))? {
                 let end = match (&message.word(1)[..], &message.body) {
@@ -101,13 +101,15 @@
                     return Ok(end);
                 }
                 log!("index: a reply to {:?}, which is not called for here", message.word(0));
+                begun = None;
             }
-            if !link.input.is_empty() {
-                whole_by = whole_by.min(clock::now() + STALLED);
-            }
+            begun = if link.input.is_empty() { None } else { begun.or_else(|| Some(clock::now())) };
+            let whole_by = begun.map_or(until + SILENT, |begun| (begun + STALLED).min(until + SILENT));
             tokio::select! {
                 turned = link.turn() => turned?,
-                () = clock::until(whole_by) => return Ok(CallEnd::TimedOut),
+                () = clock::until(whole_by) => {
+                    return if begun.is_some() { Err(lines::stalled()) } else { Ok(CallEnd::TimedOut) };
+                }
             }
         }
     }
--- a/node/src/backends/interpreter.rs
+++ b/node/src/backends/interpreter.rs
@@ -18,6 +18,8 @@
 
 /// Between two attempts at a link; one that held for longer is made anew at once.
 const RETRY: Duration = Duration::from_millis(50);
+/// A message that has begun is whole after this long, or the link is made anew.
+const STALLED: Duration = Duration::from_secs(2);
 /// The tag of the question whose answer shows that all notices from before it have been read.
 const FENCE: &[u8] = b"fence";
 /// A start that is this much later than the one known is another one.
@@ -106,17 +108,26 @@
 
     async fn linked(&mut self, mut link: Link) -> io::Result<Over> {
         link.output.put_slice(format!("CONNECT {}\r\n", self.read).as_bytes());
-        let mut synced = false;
+        let (mut synced, mut begun) = (false, None);
         loop {
             while let Some(message) = lines::take(&mut link.input, has_body)? {
+                begun = None;
                 if self.heard(message, &mut link.output).await? {
                     synced = true;
                     self.command_again(&mut link.output);
                 }
             }
+            begun = if link.input.is_empty() { None } else { begun.or_else(|| Some(clock::now())) };
+            let stalled = async {
+                match begun {
+                    Some(begun) => clock::until(begun + STALLED).await,
+                    None => std::future::pending().await,
+                }
+            };
             let room = link.has_room();
             tokio::select! {
                 turned = link.turn() => turned?,
+                () = stalled => return Err(lines::stalled()),
                 // Runs and the numbers of notices carry on over the link to the new address.
                 Ok(()) = self.links.changed() => return Ok(Over::Address),
                 command = self.commands.recv(), if room => {
--- a/node/src/backends/lines.rs
+++ b/node/src/backends/lines.rs
@@ -22,6 +22,11 @@
     }
 }
 
+/// The error where a message has begun and does not end.
+pub fn stalled() -> io::Error {
+    Nonsense("a message without an end".into()).into()
+}
+
 /// A line's words and the bytes after it; all are slices of what was read.
 #[derive(Debug, PartialEq)]
 pub struct Message {
--- a/node/tests/sockets/links.rs
+++ b/node/tests/sockets/links.rs
@@ -49,7 +49,10 @@
 #[test]
 fn nonsense_drops_the_link_is_logged_and_the_link_is_made_anew() {
     let (mut node, server, mut vm) = Node::with_interpreter("", None);
-    for nonsense in ["HELLO\r\n", "VALUE x a done 1 0\r\n\r\n", "VALUE 1 a done 1 many\r\n"] {
+    // The last one is no nonsense but never ends.
+    for nonsense in
+        ["HELLO\r\n", "VALUE x a done 1 0\r\n\r\n", "VALUE 1 a done 1 many\r\n", "VALUE 1 a done 1 9\r\n"]
+    {
         vm.say(nonsense);
         node.logs("interpreter: link lost");
         vm = server.interpreter("0");
@@ -158,7 +161,7 @@
     let index = Server::new();
     let (node, _vm, mut vm) = Node::with_interpreter(&format!(r#""index": "{}","#, index.address), None);
     let mut client = node.client();
-    let mut calls: Vec<Peer> = (1..=3)
+    let mut calls: Vec<Peer> = (1..=4)
         .map(|id| {
             let txn = format!("a{id}");
             client.request(id, &txn, Some(&txn), LONG);
@@ -173,7 +176,12 @@
     calls[0].say("a1 HIT 3000000000\r\nxxxx");
     assert!(client.line().contains("\"id\":1,\"error\""), "it may have had its effect");
     assert!(calls[0].closed());
-    calls[1].say("b9 HIT 1\r\nx\r\na2 HIT 1\r\ny\r\na2 HIT 1\r\nz\r\n");
+    // A reply that has begun does not end; what came to another call before that, in pieces, spoils nothing.
+    calls[1].say("b9 HIT 1\r\n");
+    calls[3].say("a4 HIT 5\r\n");
+    calls[1].say("x\r\n");
+    assert!(client.line().contains("\"id\":4,\"error\""));
+    calls[1].say("a2 HIT 1\r\ny\r\na2 HIT 1\r\nz\r\n");
     assert_eq!(vm.command(), (vec!["RESOLVE".into(), "a2".into(), "1".into()], "y".into()));
     calls[2].say("a3 HIT 1\r\nw\r\n");
     assert_eq!(vm.command(), (vec!["RESOLVE".into(), "a3".into(), "1".into()], "w".into()));
