Give up a submission, not an id: who copies the id of an open request takes nothing back

Read from the source and proved by the new test before the change: `Gone` named a request by its txn alone. A client that sent the id of an open request got its error, but a withdrawal or a close behind it in the same read reached core.rs (`gone`) as the genuine request's own: its ticket was void, its front end heard nothing, and the rule on lost requests was broken.

`Exchange::submit` now returns a claim with a number of its own, and only that claim voids its ticket; both fronts use it. Also, a stand-in interpreter that is asked for gauges for ever no longer outlasts its guard.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -17,7 +17,7 @@
 
 use crate::clock::{self, Unix};
 use crate::exchange::{
-    CallCommand, CallEnd, CoreEnds, End, Input, Outcome, Report, Request, RunCommand, State, Ticket,
+    CallCommand, CallEnd, Claim, CoreEnds, End, Input, Outcome, Report, Request, RunCommand, State, Ticket,
 };
 use crate::log;
 use keys::{Kept, Keys, Linked};
@@ -35,6 +35,7 @@
 /// One try of a request, from its reading until it is answered and nothing of it runs.
 struct Try {
     request: Rc<Request>,
+    claim: Claim,
     /// The right to answer; used up by the answer, void when the caller has gone.
     ticket: Option<Ticket>,
     phase: Phase,
@@ -193,8 +194,8 @@
             return;
         }
         match input {
-            Input::Submitted(request, ticket) => self.submitted(request, ticket),
-            Input::Gone(txn) => self.gone(&txn),
+            Input::Submitted(request, claim, ticket) => self.submitted(request, claim, ticket),
+            Input::Gone(claim) => self.gone(&claim),
             Input::Drain(stop) => self.drain(stop),
             Input::Report(Report::Up { cold }) => self.start(cold),
             Input::Report(Report::Gauges(values)) => {
@@ -219,7 +220,7 @@
         }
     }
 
-    fn submitted(&mut self, request: Rc<Request>, ticket: Ticket) {
+    fn submitted(&mut self, request: Rc<Request>, claim: Claim, ticket: Ticket) {
         // Guards against an id that is used twice while it is open: the links could not tell the two apart.
         if self.by_txn.contains_key(&request.txn) {
             log!("request {:?} came again while it is open", request.txn);
@@ -232,7 +233,7 @@
         let key = self.key_of(&request);
         // Guards against two tries of one key in one batch: the second is linked to what became of the first.
         if key.as_ref().is_some_and(|key| self.keys.in_batch(key)) {
-            return self.deferred.push_back(Input::Submitted(request, ticket));
+            return self.deferred.push_back(Input::Submitted(request, claim, ticket));
         }
         let repeats =
             match key.map_or(Linked::First, |key| self.keys.arrived(key, &request.body, request.door)) {
@@ -258,7 +259,7 @@
             patience: Some(request.due.saturating_sub(now)),
         }));
         self.by_txn.insert(request.txn.clone(), id);
-        self.tries.insert(id, Try { request, ticket: Some(ticket), phase: Phase::Held });
+        self.tries.insert(id, Try { request, claim, ticket: Some(ticket), phase: Phase::Held });
     }
 
     /// Turns a request away where no decision is made of it: nothing runs requests yet, or nothing took it.
@@ -275,9 +276,9 @@
         Some((request.class, key))
     }
 
-    fn gone(&mut self, txn: &Bytes) {
-        let Some(&id) = self.by_txn.get(txn) else { return };
-        let Some(taken) = self.tries.get_mut(&id) else { return };
+    fn gone(&mut self, claim: &Claim) {
+        let Some(&id) = self.by_txn.get(&claim.txn) else { return };
+        let Some(taken) = self.tries.get_mut(&id).filter(|taken| taken.claim == *claim) else { return };
         if taken.ticket.take().is_some() {
             self.events.push(Event::Abandoned(id));
         }
--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -2,6 +2,7 @@
 //! one outcome for each; backends receive what is to be run, stopped and called, and report. No wire is known
 //! here, and every queue is bounded.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -83,13 +84,22 @@
     }
 }
 
+/// One submission of a request, for the front that made it to give up. Guards a request against who submits
+/// its id a second time: the id alone would not tell the two apart.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Claim {
+    /// The request's id on the links.
+    pub txn: Bytes,
+    number: u64,
+}
+
 /// What the core is told.
 #[derive(Debug)]
 pub enum Input {
     /// A front read a request.
-    Submitted(Rc<Request>, Ticket),
-    /// The caller of the request with this id has gone; its ticket is void.
-    Gone(Bytes),
+    Submitted(Rc<Request>, Claim, Ticket),
+    /// The caller of this submission has gone; its ticket is void.
+    Gone(Claim),
     /// A backend reports.
     Report(Report),
     /// The notice to leave: the process is stopped at the given time.
@@ -197,6 +207,7 @@
 pub struct Exchange {
     inbox: mpsc::Sender<Input>,
     state: watch::Receiver<State>,
+    submitted: Rc<Cell<u64>>,
 }
 
 /// The core's ends of the exchange.
@@ -227,18 +238,26 @@
     let state = State { good: false, idle: None, draining: None, open: true, answered: false };
     let (state, seen) = watch::channel(state);
     let core = CoreEnds { inbox: core_inbox, runs, calls, state };
-    (Exchange { inbox, state: seen }, core, BackendEnds { runs: backend_runs, calls: backend_calls })
+    let submitted = Rc::default();
+    (
+        Exchange { inbox, state: seen, submitted },
+        core,
+        BackendEnds { runs: backend_runs, calls: backend_calls },
+    )
 }
 
 impl Exchange {
     /// Hands a request to the core; its outcome comes by the ticket.
-    pub async fn submit(&self, request: Request, ticket: Ticket) {
-        self.tell(Input::Submitted(Rc::new(request), ticket)).await;
+    pub async fn submit(&self, request: Request, ticket: Ticket) -> Claim {
+        let claim = Claim { txn: request.txn.clone(), number: self.submitted.get() };
+        self.submitted.set(claim.number + 1);
+        self.tell(Input::Submitted(Rc::new(request), claim.clone(), ticket)).await;
+        claim
     }
 
     /// The caller has gone and no answer is owed.
-    pub async fn gone(&self, txn: Bytes) {
-        self.tell(Input::Gone(txn)).await;
+    pub async fn gone(&self, claim: Claim) {
+        self.tell(Input::Gone(claim)).await;
     }
 
     /// A backend's report.
--- a/node/src/fronts/jsonrpc.rs
+++ b/node/src/fronts/jsonrpc.rs
@@ -18,7 +18,7 @@
 use super::guests::{Guest, Standing, OWED};
 use super::{booked, part, Names};
 use crate::clock::{self, Unix};
-use crate::exchange::{Exchange, Outcome, Request, State, Ticket};
+use crate::exchange::{Claim, Exchange, Outcome, Request, State, Ticket};
 use crate::log;
 
 /// Requests that may be open on one connection.
@@ -99,9 +99,9 @@
 type Problem = (i32, &'static str);
 
 struct Open {
-    /// The id as it came, and the request's id on the links.
+    /// The id as it came.
     id: Bytes,
-    txn: Bytes,
+    claim: Claim,
 }
 
 /// One connection of a front end.
@@ -156,7 +156,7 @@
     // Whatever ended the connection, nobody waits any more for what is still open on it.
     let ended = connection.talk(&mut stream, outcomes).await;
     for open in std::mem::take(&mut connection.open).into_values() {
-        connection.exchange.gone(open.txn).await;
+        connection.exchange.gone(open.claim).await;
     }
     if ended.is_ok() && connection.unserved > 0 {
         // It is closed either way.
@@ -437,20 +437,20 @@
             return Err((id, (INVALID_REQUEST, "32 requests are open here")));
         };
         self.known = true;
-        self.open.insert(tag, Open { id, txn: request.txn.clone() });
-        self.exchange.submit(request, ticket).await;
+        let claim = self.exchange.submit(request, ticket).await;
+        self.open.insert(tag, Open { id, claim });
         Ok(())
     }
 
     async fn withdraw(&mut self, withdrawn: &Withdrawn<'_>) {
         let meant = |open: &Open| {
             withdrawn.id.is_none_or(|id| open.id == id.get().as_bytes())
-                && withdrawn.txn.as_ref().is_none_or(|txn| open.txn == txn.as_bytes())
+                && withdrawn.txn.as_ref().is_none_or(|txn| open.claim.txn == txn.as_bytes())
         };
         // What was answered meanwhile is no longer open.
         let Some(tag) = self.open.iter().find(|(_, open)| meant(open)).map(|(tag, _)| *tag) else { return };
         if let Some(open) = self.open.remove(&tag) {
-            self.exchange.gone(open.txn).await;
+            self.exchange.gone(open.claim).await;
         }
     }
 
--- a/node/src/fronts/uwsgi.rs
+++ b/node/src/fronts/uwsgi.rs
@@ -212,14 +212,13 @@
 async fn outcome(stream: &mut TcpStream, front: &Front, request: Request) -> io::Result<Option<Outcome>> {
     let (answers, mut outcomes) = mpsc::channel(1);
     let Some(ticket) = Ticket::new(&answers, 0) else { return Ok(None) };
-    let txn = request.txn.clone();
-    front.exchange.submit(request, ticket).await;
+    let claim = front.exchange.submit(request, ticket).await;
     let mut beyond = [0; 1024];
     loop {
         tokio::select! {
             answered = outcomes.recv() => return Ok(answered.map(|(_, outcome)| outcome)),
             read = stream.read(&mut beyond) => if read.as_ref().map_or(true, |n| *n == 0) {
-                front.exchange.gone(txn).await;
+                front.exchange.gone(claim).await;
                 return read.map(|_| None);
             },
         }
--- a/node/tests/sockets/helper.rs
+++ b/node/tests/sockets/helper.rs
@@ -7,7 +7,7 @@
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 const GUARD: Duration = Duration::from_secs(60);
 
@@ -240,7 +240,9 @@
 
     /// As an interpreter: the next command that does not ask for gauges, with its body. The fence is answered.
     pub fn command(&mut self) -> (Vec<String>, String) {
-        loop {
+        // Gauges are asked for all the time, so the guard on each read is not enough.
+        let guard = Instant::now() + GUARD;
+        while Instant::now() < guard {
             let line = self.line();
             let words: Vec<String> = line.split(' ').map(String::from).collect();
             match &words[0][..] {
@@ -252,6 +254,7 @@
                 _ => return (words, String::new()),
             }
         }
+        panic!("no command comes");
     }
 
     /// As an interpreter: the next command is APPLY; returns the id, the class and the body.
@@ -267,6 +270,11 @@
 
     /// As a front end: a request. The body is `body` in base64; a key makes it a `book`.
     pub fn request(&mut self, id: u32, txn: &str, key: Option<&str>, limit_ms: u32) {
+        self.request_and(id, txn, key, limit_ms, "");
+    }
+
+    /// The same, with more lines in the same write.
+    pub fn request_and(&mut self, id: u32, txn: &str, key: Option<&str>, limit_ms: u32, more: &str) {
         let (method, unique) = match key {
             Some(key) => ("book", format!(r#""unique":"{key}","#)),
             None => ("quote", String::new()),
@@ -274,7 +282,7 @@
         let door = now_ms();
         self.say(format!(
             r#"{{"jsonrpc":"2.0","id":{id},"method":"{method}","params":{{"txn":"{txn}","door":{door},"lb":1,"team":"acme","limit":{limit_ms},"cpu":1.5,"ram":24.5,"standing":0.5,{unique}"content":"Ym9keQ=="}}}}
-"#
+{more}"#
         ));
     }
 }
--- a/node/tests/sockets/jsonrpc.rs
+++ b/node/tests/sockets/jsonrpc.rs
@@ -211,3 +211,23 @@
     while report() != "HB n1 OUT" {}
     node.ends();
 }
+
+#[test]
+fn who_copies_the_id_of_an_open_request_can_not_take_it_back() {
+    let (node, _vm, mut vm) = Node::with_interpreter("", None);
+    let (mut client, mut copies) = (node.client(), node.client());
+    client.request(1, "a1", Some("k"), LONG);
+    vm.apply();
+    copies.request_and(
+        1,
+        "a1",
+        Some("k"),
+        LONG,
+        "{\"jsonrpc\":\"2.0\",\"method\":\"withdraw\",\"params\":{\"txn\":\"a1\"}}\n",
+    );
+    // That the copier's own request runs shows that all it said before has been heard.
+    copies.request(2, "b1", None, LONG);
+    assert_eq!(vm.apply().0, "b1");
+    vm.value(1, "a1", "done", "x");
+    assert!(client.line().contains("\"id\":1,\"result\""));
+}
