Prove by a test that a reload moves the uwsgi servers, and that a bad uwsgi file changes nothing

The reload covered the uwsgi file since it came; only its platform half had a test. The stand-ins show that a request under way ends at its old server and the next one goes to the new one.

--- a/node/tests/sockets/helper.rs
+++ b/node/tests/sockets/helper.rs
@@ -62,7 +62,8 @@
     child: Child,
     log: Receiver<String>,
     said: Vec<String>,
-    config: PathBuf,
+    /// Its configuration, and its uwsgi file if it has one.
+    files: Vec<PathBuf>,
     pub json: SocketAddr,
 }
 
@@ -71,14 +72,16 @@
     pub fn start(config: &str, uwsgi: Option<&str>) -> Node {
         let path = file("config.json", config);
         let mut command = oakwind(&["serve", "--config", path.to_str().unwrap()]);
+        let mut files = vec![path];
         if let Some(text) = uwsgi {
-            command.arg("--uwsgi").arg(file("uwsgi.toml", text));
+            files.push(file("uwsgi.toml", text));
+            command.arg("--uwsgi").arg(&files[1]);
         }
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
         let (say, log) = channel();
         std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| say.send(line)));
-        let mut node = Node { child, log, said: Vec::new(), config: path, json: ([127, 0, 0, 1], 0).into() };
+        let mut node = Node { child, log, said: Vec::new(), files, json: ([127, 0, 0, 1], 0).into() };
         node.json = node.address("serves JSON-RPC at ");
         node
     }
@@ -129,7 +132,13 @@
 
     /// Puts another text in the place of its configuration and tells it to read that.
     pub fn reload(&self, config: &str) {
-        std::fs::write(&self.config, config).unwrap();
+        std::fs::write(&self.files[0], config).unwrap();
+        self.signal("-HUP");
+    }
+
+    /// The same with its uwsgi file.
+    pub fn reload_uwsgi(&self, text: &str) {
+        std::fs::write(&self.files[1], text).unwrap();
         self.signal("-HUP");
     }
 
--- a/node/tests/sockets/uwsgi.rs
+++ b/node/tests/sockets/uwsgi.rs
@@ -277,3 +277,30 @@
         "HTTP/1.1 400 Bad Request | Content-Length: 38 | the request did not come whole in time"
     );
 }
+
+#[test]
+fn a_reload_moves_the_uwsgi_servers_too() {
+    let (old, new, store) = (Server::new(), Server::new(), Server::new());
+    let servers =
+        |runs: &Server, more: &str| format!("listen = '127.0.0.1:0'\nruns = ['{}']\n{more}", runs.address);
+    let mut node = Node::start(&config(""), Some(&servers(&old, "")));
+    let address = node.uwsgi();
+    let mut before = Peer::connect(address);
+    before.say(quote());
+    let (mut running, ..) = old.uwsgi();
+    for bad in [servers(&new, "surprise = 1"), servers(&new, &format!("calls = ['{}']", store.address))] {
+        node.reload_uwsgi(&bad);
+        let line = node.logs("not reloaded");
+        assert!(line.contains("surprise") || line.contains("calls"), "{line}");
+    }
+    node.reload_uwsgi(&servers(&new, ""));
+    node.logs("links go to new addresses");
+    let mut after = Peer::connect(address);
+    after.say(quote());
+    let (mut server, ..) = new.uwsgi();
+    server.say("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew");
+    assert_eq!(brief(&after.rest()), "HTTP/1.1 200 OK | Content-Length: 3 | new");
+    // What ran at the old address ends there.
+    running.say("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold");
+    assert_eq!(brief(&before.rest()), "HTTP/1.1 200 OK | Content-Length: 3 | old");
+}
