Name the key of every wrong value in a configuration, and give the toy's two clients one body

Seen when the README was followed as a newcomer: the toy's uwsgi client sent no body and its JSON client "hello", so the second `book` of one key is refused since keys know their body, where the README promises the first one's result. And a value of the wrong kind was reported by line and column alone, at the start as at a reload: the parsers know the place, not the key. serde_path_to_error names it, in the platform's JSON, the settings and the uwsgi file; what comes after the JSON's end is still an error.

--- a/examples/toy.rs
+++ b/examples/toy.rs
@@ -8,6 +8,8 @@
 use std::net::{TcpListener, TcpStream};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+/// What both clients ask with: all tries of one key carry the same body.
+const BODY: &str = "hello";
 /// What the toy server takes for each request.
 const WORK: Duration = Duration::from_millis(200);
 
@@ -73,6 +75,8 @@
 fn ask_uwsgi(address: &str, class: &str, key: Option<&str>) -> io::Result<()> {
     let path = format!("/{class}");
     let mut vars = vec![("REQUEST_METHOD", "POST"), ("PATH_INFO", &path), ("HTTP_X_TENANT", "acme")];
+    let length = BODY.len().to_string();
+    vars.push(("CONTENT_LENGTH", &length));
     vars.extend(key.map(|key| ("HTTP_IDEMPOTENCY_KEY", key)));
     let mut block = Vec::new();
     for part in vars.iter().flat_map(|(name, value)| [name, value]) {
@@ -81,7 +85,7 @@
     }
     let [low, high] = (block.len() as u16).to_le_bytes();
     let mut stream = TcpStream::connect(address)?;
-    stream.write_all(&[&[0, low, high, 0], &block[..]].concat())?;
+    stream.write_all(&[&[0, low, high, 0], &block[..], BODY.as_bytes()].concat())?;
     let mut response = String::new();
     stream.read_to_string(&mut response)?;
     println!("{response}");
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -20,6 +20,14 @@
     }
 }
 
+/// A parser's problem with the key that it came upon.
+fn named(e: &serde_path_to_error::Error<serde_json::Error>) -> String {
+    match e.path().iter().next() {
+        Some(_) => e.to_string(),
+        None => e.inner().to_string(),
+    }
+}
+
 fn bad<T>(what: impl Into<String>) -> Result<T, BadConfig> {
     Err(BadConfig(what.into()))
 }
@@ -136,7 +144,9 @@
 impl Config {
     /// Reads the platform's JSON.
     pub fn parse(text: &str) -> Result<Self, BadConfig> {
-        let raw: Raw = serde_json::from_str(text).map_err(|e| BadConfig(e.to_string()))?;
+        let json = &mut serde_json::Deserializer::from_str(text);
+        let raw: Raw = serde_path_to_error::deserialize(json).map_err(|e| BadConfig(named(&e)))?;
+        json.end().map_err(|e| BadConfig(e.to_string()))?;
         let settings = match swiftwinch_settings::parse(raw.settings.get()) {
             Ok(settings) => settings,
             Err(e) => return bad(e.to_string()),
@@ -255,10 +265,13 @@
 impl Uwsgi {
     /// Reads the text of a uwsgi file.
     pub fn parse(text: &str) -> Result<Self, BadConfig> {
-        let raw: RawUwsgi = toml::from_str(text).map_err(|e| {
+        let wrong = |key: String, e: &toml::de::Error| {
             let at = e.span().map_or(0, |span| text[..span.start.min(text.len())].lines().count().max(1));
-            BadConfig(format!("uwsgi file, line {at}: {}", e.message()))
-        })?;
+            BadConfig(format!("uwsgi file, line {at}{key}: {}", e.message()))
+        };
+        let table = toml::Deserializer::parse(text).map_err(|e| wrong(String::new(), &e))?;
+        let raw: RawUwsgi = serde_path_to_error::deserialize(table)
+            .map_err(|e| wrong(format!(", {}", e.path()), e.inner()))?;
         Ok(Uwsgi {
             listen: address("listen", &raw.listen)?,
             runs: addresses("runs", &raw.runs)?,
@@ -332,6 +345,10 @@
             (r#""cores": 2, "#, "", "cores"),
             ("repeatable", "sometimes", "effect"),
             (r#""stop_ms""#, r#""limits": {"sockets": 3}, "stop_ms""#, "limits.sockets"),
+            ("}}}", "}}} {", "trailing"),
+            ("3000", r#""soon""#, "stop_ms"),
+            (r#""stop_ms""#, r#""limits": {"sockets": "few"}, "stop_ms""#, "limits.sockets"),
+            (r#""slo": 1,"#, r#""slo": -1,"#, "services[0].slo"),
         ];
         for (from, to, key) in cases {
             let line = problem(from, to);
@@ -349,6 +366,7 @@
             ("vrid = 7", "", "vrid"),
             ("vrid = 7", "vrid = 7\ninterval_ms = 5", "vrrp.interval_ms"),
             ("peers = []", "peers = ['x']", "vrrp.peers"),
+            ("peers = []", "peers = 3", "vrrp.peers"),
             ("[vrrp]", "surprise = 1\n[vrrp]", "surprise"),
         ] {
             let line = Uwsgi::parse(&good.replace(from, to)).unwrap_err().to_string();
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -144,7 +144,9 @@
 
 /// Reads the text.
 pub fn parse(text: &str) -> Result<Parsed, BadSettings> {
-    let params: Params = serde_json::from_str(text).map_err(|e| BadSettings(e.to_string()))?;
+    let json = &mut serde_json::Deserializer::from_str(text);
+    let params: Params = serde_path_to_error::deserialize(json).map_err(|e| BadSettings(e.to_string()))?;
+    json.end().map_err(|e| BadSettings(e.to_string()))?;
     let specifics = &params.specifics;
     let classes = params
         .services
