--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -144,8 +144,8 @@
 impl Config {
     /// Reads the platform's JSON.
     pub fn parse(text: &str) -> Result<Self, BadConfig> {
-        let json = &mut serde_json::Deserializer::from_str(text);
-        let raw: Raw = serde_path_to_error::deserialize(json).map_err(|e| BadConfig(named(&e)))?;
+        let mut json = serde_json::Deserializer::from_str(text);
+        let raw: Raw = serde_path_to_error::deserialize(&mut json).map_err(|e| BadConfig(named(&e)))?;
         json.end().map_err(|e| BadConfig(e.to_string()))?;
         let settings = match swiftwinch_settings::parse(raw.settings.get()) {
             Ok(settings) => settings,
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -144,8 +144,9 @@
 
 /// Reads the text.
 pub fn parse(text: &str) -> Result<Parsed, BadSettings> {
-    let json = &mut serde_json::Deserializer::from_str(text);
-    let params: Params = serde_path_to_error::deserialize(json).map_err(|e| BadSettings(e.to_string()))?;
+    let mut json = serde_json::Deserializer::from_str(text);
+    let params: Params =
+        serde_path_to_error::deserialize(&mut json).map_err(|e| BadSettings(e.to_string()))?;
     json.end().map_err(|e| BadSettings(e.to_string()))?;
     let specifics = &params.specifics;
     let classes = params
