--- a/node/tests/sockets/helper.rs
+++ b/node/tests/sockets/helper.rs
@@ -1,7 +1,7 @@
 //! The program as a process, and stand-ins for all that it talks to. Everything waits for events; the one
 //! time here is a guard that turns a test that would hang into one that fails.
 
-use std::io::{BufRead, BufReader, Read, Write};
+use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::PathBuf;
 use std::process::{Child, Command, Output, Stdio};
@@ -244,7 +244,7 @@
 
     /// Whether the program has closed this connection, cleanly or not, without another word.
     pub fn closed(&mut self) -> bool {
-        self.stream.read(&mut [0]).is_ok_and(|n| n == 0)
+        uninterrupted(|| self.stream.read(&mut [0])).is_ok_and(|n| n == 0)
     }
 
     /// As an interpreter: the next command that does not ask for gauges, with its body. The fence is answered.
@@ -316,4 +316,21 @@
     socket
 }
 
+/// The next datagram.
+pub fn datagram(socket: &UdpSocket) -> Vec<u8> {
+    let mut bytes = [0; 2048];
+    let length = uninterrupted(|| socket.recv(&mut bytes)).unwrap();
+    bytes[..length].to_vec()
+}
+
+/// A read with a time limit ends early where the machine stands still meanwhile: guards the verdict against that.
+fn uninterrupted<T>(mut read: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    loop {
+        match read() {
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            done => return done,
+        }
+    }
+}
+
 pub const LONG: u32 = 100_000;
--- a/node/tests/sockets/jsonrpc.rs
+++ b/node/tests/sockets/jsonrpc.rs
@@ -201,11 +201,7 @@
     let members = udp("127.0.0.1:0");
     let links = format!(r#""members": "{}","#, members.local_addr().unwrap());
     let (node, _vm, _link) = Node::with_interpreter(&links, None);
-    let report = || {
-        let mut bytes = [0; 64];
-        let length = members.recv(&mut bytes).unwrap();
-        String::from_utf8_lossy(&bytes[..length]).into_owned()
-    };
+    let report = || String::from_utf8(datagram(&members)).unwrap();
     assert_eq!([report(), report()], ["HB n1 UP", "HB n1 UP"]);
     node.terminate();
     while report() != "HB n1 OUT" {}
--- a/node/tests/sockets/links.rs
+++ b/node/tests/sockets/links.rs
@@ -143,7 +143,7 @@
     }
     node.reload(&good);
     let mut vm = new.0.interpreter("1");
-    assert_eq!(members.recv(&mut [0; 64]).unwrap(), "HB n1 UP".len());
+    assert_eq!(datagram(&members), b"HB n1 UP");
     // A run that the old link has not shown the end of is applied again, which does nothing to it.
     assert_eq!((vm.apply().0, vm.apply().0), ("a1".into(), "a2".into()));
     // The call under way ends on its old connection, and the next one goes to the new address.
--- a/node/tests/sockets/vrrp.rs
+++ b/node/tests/sockets/vrrp.rs
@@ -24,13 +24,7 @@
 
 /// The next advertisement that the peer gets, if it has this priority.
 fn hear(peer: &UdpSocket, priority: u8) {
-    let mut bytes = [0; 64];
-    loop {
-        let length = peer.recv(&mut bytes).unwrap();
-        if bytes[..length] == advertisement(priority) {
-            return;
-        }
-    }
+    while datagram(peer)[..] != advertisement(priority)[..] {}
 }
 
 #[test]
