--- a/node/src/fronts/uwsgi.rs
+++ b/node/src/fronts/uwsgi.rs
@@ -4,11 +4,11 @@
 //! | --- | --- |
 //! | `PATH_INFO` | `/` and the class; `/status` is a health check |
 //! | `CONTENT_LENGTH` | bytes of body after the packet; none if absent |
-//! | `HTTP_IDEMPOTENCY_KEY` | in keyed classes: the same for all tries of one request |
+//! | `HTTP_IDEMPOTENCY_KEY` | in keyed classes: the same for all tries of one request, with the same body |
 //! | `HTTP_X_TENANT` | the tenant by name; without one the request counts to nobody's share |
 //! | `HTTP_X_DEADLINE` | when the caller stops waiting, in Unix milliseconds; at the latest, and without one, the class's deadline from now |
 //! | `HTTP_X_COST` | the work to expect, in milliseconds on one core |
-//! | `HTTP_X_RAM` | the memory that is booked for the request while it is held, in KB |
+//! | `HTTP_X_RAM` | the memory that is booked for the request while it is held, in KB, under 2,000 |
 
 use std::io;
 use std::rc::Rc;
