Let a new process take over in place, with the table of keys, from the one that serves

At fault: serve.rs bound `listen` for itself alone, and nothing told one process what the other had run. Ruled out as a loss: connections in the queue of the listener that closes, which are accepted and read first.

A test found that an old process whose successor died could not be taken over again, as its socket file had been replaced; it is bound anew now. `Listening::keep` is one loop for both fronts: role, upgrade and notice close it alike.

--- a/node/src/backends/index.rs
+++ b/node/src/backends/index.rs
@@ -11,12 +11,11 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-use super::interpreter::put;
-use super::lines::{self, Link};
 use super::Callee;
 use crate::clock::{self, Unix};
 use crate::config::Links;
 use crate::exchange::{CallEnd, Request};
+use crate::lines::{self, put, Link};
 use crate::log;
 
 /// A connection is used again only if it has been idle for less. Guards calls against crossing the close of an
--- a/node/src/backends/interpreter.rs
+++ b/node/src/backends/interpreter.rs
@@ -2,7 +2,7 @@
 //! read before anything is commanded again, so that no run is started twice and no end is missed.
 
 use std::collections::BTreeMap;
-use std::io::{self, Write};
+use std::io;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,10 +10,10 @@
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
 
-use super::lines::{self, Link, Message};
 use crate::clock::{self, Unix};
 use crate::config::Links;
 use crate::exchange::{End, Exchange, Report, Request, RunCommand};
+use crate::lines::{self, put, Link, Message};
 use crate::log;
 
 /// Between two attempts at a link; one that held for longer is made anew at once.
@@ -285,19 +285,3 @@
 fn has_body(words: &mut dyn Iterator<Item = &[u8]>) -> bool {
     matches!(words.next(), Some(b"VALUE" | b"AWAIT"))
 }
-
-/// Writes a line of words, and the bytes that it announces.
-pub(super) fn put(output: &mut BytesMut, words: &[&[u8]], body: Option<&[u8]>) {
-    for (i, word) in words.iter().enumerate() {
-        if i > 0 {
-            output.put_u8(b' ');
-        }
-        output.put_slice(word);
-    }
-    if let Some(body) = body {
-        // Writing to memory does not fail.
-        let _ = write!(output.writer(), " {}\r\n", body.len());
-        output.put_slice(body);
-    }
-    output.put_slice(b"\r\n");
-}
--- a/node/src/backends/mod.rs
+++ b/node/src/backends/mod.rs
@@ -2,7 +2,6 @@
 
 pub mod index;
 pub mod interpreter;
-mod lines;
 pub mod uwsgi;
 
 use std::collections::HashMap;
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -14,10 +14,12 @@
     TenantId, TimerId,
 };
 use swiftwinch_settings::Parsed;
+use tokio::sync::mpsc;
 
 use crate::clock::{self, Unix};
 use crate::exchange::{
-    CallCommand, CallEnd, Claim, CoreEnds, End, Input, Outcome, Report, Request, RunCommand, State, Ticket,
+    CallCommand, CallEnd, Claim, CoreEnds, End, Estate, Fate, Input, KeyRecord, Outcome, Report, Request,
+    RunCommand, State, Ticket,
 };
 use crate::log;
 use keys::{Kept, Keys, Linked};
@@ -32,8 +34,21 @@
 /// Who is turned away without a decision may come back after this part of the longest time that callers follow.
 const UNDECIDED: f64 = 0.25;
 
+/// Clients are told to go to a new process so long before it gets the table of keys. Guards requests that cross
+/// that word: what is read until then is still run here.
+const CROSSING: Duration = Duration::from_millis(100);
+
+/// The process that takes over from this one.
+struct Heir {
+    tell: mpsc::Sender<Estate>,
+    /// When it gets the table of keys.
+    at: Unix,
+    told: bool,
+}
+
 /// One try of a request, from its reading until it is answered and nothing of it runs.
 struct Try {
+    id: RequestId,
     request: Rc<Request>,
     claim: Claim,
     /// The right to answer; used up by the answer, void when the caller has gone.
@@ -83,6 +98,10 @@
     gauges_asked: bool,
     /// The decisions have been called, if only to open.
     opened: bool,
+    heir: Option<Heir>,
+    /// Tries with keys, while it is not known which keys the process before this one has run. As bounded as
+    /// connections and what may be open on them.
+    held_back: Vec<Input>,
 }
 
 impl Core {
@@ -105,6 +124,8 @@
             gauges: (Duration::ZERO, Gauges::default()),
             gauges_asked: false,
             opened: false,
+            heir: None,
+            held_back: Vec::new(),
         }
     }
 
@@ -133,7 +154,8 @@
         let timer = self.timers.peek().map(|Reverse((at, _))| *at);
         let timer = timer.map(|at| if self.gauges_asked { at } else { at.saturating_sub(GAUGE_LEAD) });
         let closing = self.closing_at().filter(|_| self.ends.state.borrow().open);
-        [timer, closing].into_iter().flatten().min().unwrap_or(clock::now() + Duration::from_secs(3600))
+        let heir = self.heir.as_ref().filter(|heir| !heir.told).map(|heir| heir.at);
+        [timer, closing, heir].into_iter().flatten().min().unwrap_or(clock::now() + Duration::from_secs(3600))
     }
 
     /// From then on nothing that comes may be run, so nothing more is read.
@@ -156,9 +178,12 @@
             }
         }
         self.keys.sweep(now);
+        self.tell_heir_all(now);
         let open = self.closing_at().is_none_or(|at| now < at);
         let leaving = self.ends.state.borrow().draining.is_some();
-        let answered = leaving && self.tries.values().all(|t| t.ticket.is_none());
+        // A new process waits for what becomes of runs with keys, though their clients have gone.
+        let owed = |t: &Try| t.ticket.is_some() || (self.heir.is_some() && self.keys.holds(t.id));
+        let answered = leaving && !self.tries.values().any(owed);
         self.update(|state| (state.open, state.answered) = (open, answered));
     }
 
@@ -197,6 +222,23 @@
             Input::Submitted(request, claim, ticket) => self.submitted(request, claim, ticket),
             Input::Gone(claim) => self.gone(&claim),
             Input::Drain(stop) => self.drain(stop),
+            Input::HandOver(tell) => {
+                let at = clock::now() + CROSSING;
+                self.heir = Some(Heir { tell, at, told: false });
+                self.update(|state| state.handed = true);
+            }
+            Input::HeirGone => {
+                self.heir = None;
+                // One that is to leave takes no clients again.
+                self.update(|state| state.handed &= state.draining.is_some());
+            }
+            Input::Inherit(estate) => self.inherit(estate),
+            Input::InheritanceOver => {
+                for joiner in self.keys.inheritance_over() {
+                    self.join_ended(joiner, &Kept::Failed, clock::now());
+                }
+                self.inherited();
+            }
             Input::Away(away) => self.update(|state| state.away = away),
             Input::Report(Report::Up { cold }) => self.start(cold),
             Input::Report(Report::Gauges(values)) => {
@@ -232,6 +274,13 @@
         }
         let now = clock::now();
         let key = self.key_of(&request);
+        if key.is_some() && self.ends.state.borrow().inheriting {
+            return self.held_back.push(Input::Submitted(request, claim, ticket));
+        }
+        // Guards against a run here and one in the process that took over, which would not know of this key.
+        if key.as_ref().is_some_and(|key| self.heir_told() && !self.keys.knows(key)) {
+            return ticket.answer(self.not_now());
+        }
         // Guards against two tries of one key in one batch: the second is linked to what became of the first.
         if key.as_ref().is_some_and(|key| self.keys.in_batch(key)) {
             return self.deferred.push_back(Input::Submitted(request, claim, ticket));
@@ -245,8 +294,7 @@
                     return ticket.answer(Outcome::Mismatched);
                 }
             };
-        let id = RequestId(self.next_id);
-        self.next_id = self.next_id.wrapping_add(1).max(1);
+        let id = self.new_id();
         self.events.push(Event::Arrived(Arrival {
             id,
             repeats,
@@ -260,7 +308,76 @@
             patience: Some(request.due.saturating_sub(now)),
         }));
         self.by_txn.insert(request.txn.clone(), id);
-        self.tries.insert(id, Try { request, claim, ticket: Some(ticket), phase: Phase::Held });
+        self.tries.insert(id, Try { id, request, claim, ticket: Some(ticket), phase: Phase::Held });
+    }
+
+    fn new_id(&mut self) -> RequestId {
+        let id = RequestId(self.next_id);
+        self.next_id = self.next_id.wrapping_add(1).max(1);
+        id
+    }
+
+    /// Takes in what the process before this one knows. The first of it is its whole table.
+    fn inherit(&mut self, estate: Estate) {
+        let now = clock::now();
+        if self.ends.state.borrow().inheriting {
+            self.keys.digests_with(estate.seed);
+            log!("handover: {} keys are known from the process before", estate.keys.len());
+        }
+        for KeyRecord { class, key, body, until, fate } in estate.keys {
+            // A class that this process does not know has no requests here.
+            let Some(class) = self.settings.classes.iter().position(|name| *name == class) else { continue };
+            let id = self.new_id();
+            let Ok(class) = u16::try_from(class) else { continue };
+            if let Some((joiners, kept)) = self.keys.inherit((class, key), (body, until, fate), id) {
+                for joiner in joiners {
+                    self.join_ended(joiner, &kept, now);
+                }
+            }
+        }
+        self.inherited();
+    }
+
+    /// Requests with keys are decided on from now on.
+    fn inherited(&mut self) {
+        self.update(|state| state.inheriting = false);
+        self.deferred.extend(std::mem::take(&mut self.held_back));
+    }
+
+    fn heir_told(&self) -> bool {
+        self.heir.as_ref().is_some_and(|heir| heir.told)
+    }
+
+    /// Hands the table of keys to the process that takes over, once nothing crosses the word to go there.
+    fn tell_heir_all(&mut self, now: Unix) {
+        let Some(heir) = self.heir.as_mut().filter(|heir| !heir.told && now >= heir.at) else { return };
+        heir.told = true;
+        let (seed, all) = self.keys.all();
+        let classes = &self.settings.classes;
+        let keys = all.filter_map(|((class, key), body, until, fate)| {
+            let class = classes.get(usize::from(*class))?.clone();
+            Some(KeyRecord { class, key: key.clone(), body, until, fate })
+        });
+        let estate = Estate { seed, keys: keys.collect() };
+        self.tell_heir(estate);
+    }
+
+    /// Tells the process that took over what became of the run of a try, if that holds a key.
+    fn tell_heir_of(&mut self, id: RequestId, fate: Fate) {
+        if !self.heir_told() {
+            return;
+        }
+        let Some(((class, key), body, until)) = self.keys.held_by(id) else { return };
+        let Some(class) = self.settings.classes.get(usize::from(class)).cloned() else { return };
+        self.tell_heir(Estate { seed: 0, keys: vec![KeyRecord { class, key, body, until, fate }] });
+    }
+
+    fn tell_heir(&mut self, estate: Estate) {
+        let told = self.heir.as_ref().is_some_and(|heir| heir.tell.try_send(estate).is_ok());
+        if !told {
+            log!("handover: the new process hears nothing more");
+            self.heir = None;
+        }
     }
 
     /// Turns a request away where no decision is made of it: nothing runs requests yet, or nothing took it.
@@ -320,6 +437,7 @@
         };
         self.answer(id, answer);
         self.events.push(Event::Finished { id, outcome, took: now.saturating_sub(since) });
+        self.tell_heir_of(id, kept.fate());
         for joiner in self.keys.ended(id, kept.clone()) {
             self.join_ended(joiner, &kept, now);
         }
@@ -420,7 +538,10 @@
                     self.keys.remember(key, &request.body, id, now + keep);
                 }
             }
-            Action::Forget(id) => self.keys.forget(id),
+            Action::Forget(id) => {
+                self.tell_heir_of(id, Fate::NeverRan);
+                self.keys.forget(id);
+            }
             Action::Call(id, within) => self.call(id, now, now + within),
             Action::SkipCall(id) => {
                 let Some(taken) = self.tries.get_mut(&id) else { return };
--- a/node/src/core/keys.rs
+++ b/node/src/core/keys.rs
@@ -1,13 +1,14 @@
 //! The table of keys: which try of a key holds it, what became of its run, and which tries wait for that.
 
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::hash::{BuildHasher, RandomState};
+use std::hash::{BuildHasher, DefaultHasher, Hasher, RandomState};
 use std::time::Duration;
 
 use bytes::Bytes;
 use swiftwinch::RequestId;
 
 use crate::clock::Unix;
+use crate::exchange::Fate;
 
 /// A class and a key in it.
 pub type Key = (u16, Bytes);
@@ -27,6 +28,17 @@
     NeverRan,
 }
 
+impl Kept {
+    /// The same in the exchange's terms.
+    pub fn fate(&self) -> Fate {
+        match self {
+            Kept::Done(result) => Fate::Done(result.clone()),
+            Kept::Failed => Fate::Failed,
+            Kept::NeverRan => Fate::NeverRan,
+        }
+    }
+}
+
 #[derive(Debug)]
 struct Entry {
     holder: RequestId,
@@ -35,11 +47,17 @@
     until: Unix,
     /// The try that was run, if any has been.
     ran: Option<RequestId>,
+    /// The process before this one ran it.
+    elsewhere: bool,
     kept: Option<Kept>,
     joiners: Vec<RequestId>,
 }
 
 impl Entry {
+    fn fate(&self) -> Fate {
+        self.kept.as_ref().map_or(Fate::Open, Kept::fate)
+    }
+
     /// What its result takes.
     fn bytes(&self) -> usize {
         if let Some(Kept::Done(result)) = &self.kept {
@@ -64,8 +82,8 @@
 /// All keys that are remembered.
 #[derive(Debug, Default)]
 pub struct Keys {
-    /// Digests bodies in a way that no client can foresee.
-    digest: RandomState,
+    /// Bodies are digested with this, in a way that no client can foresee.
+    seed: u64,
     entries: HashMap<Key, Entry>,
     /// The key that each holder holds.
     held: HashMap<RequestId, Key>,
@@ -80,7 +98,72 @@
 impl Keys {
     /// An empty table whose results take so many bytes at the most.
     pub fn new(most_bytes: usize) -> Self {
-        Keys { most_bytes, ..Keys::default() }
+        Keys { seed: RandomState::new().hash_one(()), most_bytes, ..Keys::default() }
+    }
+
+    fn digest(&self, body: &[u8]) -> u64 {
+        let mut hasher = DefaultHasher::new();
+        hasher.write_u64(self.seed);
+        hasher.write(body);
+        hasher.finish()
+    }
+
+    /// How bodies are digested, and all keys: the digest of the body, how long each is remembered and what
+    /// became of its run.
+    pub fn all(&self) -> (u64, impl Iterator<Item = (&Key, u64, Unix, Fate)>) {
+        (self.seed, self.entries.iter().map(|(key, entry)| (key, entry.body, entry.until, entry.fate())))
+    }
+
+    /// From now on bodies are digested as the process before this one did. Nothing may be remembered yet.
+    pub fn digests_with(&mut self, seed: u64) {
+        debug_assert!(self.entries.is_empty());
+        self.seed = seed;
+    }
+
+    /// Takes in what the process before this one knows of a key, under the number `id` if it is a new one.
+    /// Returns the tries that waited for what became of its run, and that.
+    pub fn inherit(
+        &mut self,
+        key: Key,
+        (body, until, fate): (u64, Unix, Fate),
+        id: RequestId,
+    ) -> Option<(Vec<RequestId>, Kept)> {
+        if !self.entries.contains_key(&key) {
+            if fate == Fate::NeverRan {
+                return None;
+            }
+            let entry = Entry {
+                holder: id,
+                body,
+                until,
+                ran: Some(id),
+                elsewhere: true,
+                kept: None,
+                joiners: vec![],
+            };
+            self.entries.insert(key.clone(), entry);
+            self.held.insert(id, key.clone());
+        }
+        let entry = self.entries.get(&key)?;
+        let kept = match fate {
+            Fate::Open => return None,
+            Fate::Done(result) => Kept::Done(result),
+            Fate::Failed => Kept::Failed,
+            Fate::NeverRan => Kept::NeverRan,
+        };
+        // One that this process took over runs here now.
+        if !entry.elsewhere || entry.kept.is_some() {
+            return None;
+        }
+        Some((self.ended(entry.ran?, kept.clone()), kept))
+    }
+
+    /// The process before this one tells nothing more: what it may have run has failed. Returns the tries that
+    /// waited for that.
+    pub fn inheritance_over(&mut self) -> Vec<RequestId> {
+        let open = |entry: &&Entry| entry.elsewhere && entry.kept.is_none();
+        let lost: Vec<RequestId> = self.entries.values().filter(open).filter_map(|entry| entry.ran).collect();
+        lost.into_iter().flat_map(|id| self.ended(id, Kept::Failed)).collect()
     }
 
     /// Whether a try of this key came in the batch that is being gathered.
@@ -101,7 +184,7 @@
                 self.forget(holder);
                 Linked::First
             }
-            Some((_, _, digest)) if digest != self.digest.hash_one(body) => return Linked::Elsewhere,
+            Some((_, _, digest)) if digest != self.digest(body) => return Linked::Elsewhere,
             Some((holder, ..)) => Linked::To(holder),
             None => Linked::First,
         };
@@ -119,8 +202,16 @@
                 (entry.holder, entry.until) = (id, until);
             }
             None => {
-                let body = self.digest.hash_one(body);
-                let entry = Entry { holder: id, body, until, ran: None, kept: None, joiners: Vec::new() };
+                let body = self.digest(body);
+                let entry = Entry {
+                    holder: id,
+                    body,
+                    until,
+                    ran: None,
+                    elsewhere: false,
+                    kept: None,
+                    joiners: vec![],
+                };
                 self.entries.insert(key.clone(), entry);
             }
         }
@@ -133,6 +224,17 @@
         self.bytes -= entry.map_or(0, |entry| entry.bytes());
     }
 
+    /// Whether anything is remembered of this key.
+    pub fn knows(&self, key: &Key) -> bool {
+        self.entries.contains_key(key)
+    }
+
+    /// The key that this try holds, the digest of its body and how long it is remembered.
+    pub fn held_by(&self, id: RequestId) -> Option<(Key, u64, Unix)> {
+        let key = self.held.get(&id)?;
+        self.entries.get(key).map(|entry| (key.clone(), entry.body, entry.until))
+    }
+
     /// Whether what becomes of this try's run will be kept.
     pub fn holds(&self, id: RequestId) -> bool {
         self.held.contains_key(&id)
--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -110,6 +110,43 @@
     number: u64,
 }
 
+/// What became of the run of a key, as far as one process tells the next.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Fate {
+    /// It runs, or may yet.
+    Open,
+    /// It ended with this result.
+    Done(Bytes),
+    /// It failed and may have had its effect.
+    Failed,
+    /// It provably never began, so the key is free.
+    NeverRan,
+}
+
+/// A remembered key, as one process hands it to the next.
+#[derive(Debug, Clone, PartialEq)]
+pub struct KeyRecord {
+    /// The name of its class.
+    pub class: String,
+    /// The key.
+    pub key: Bytes,
+    /// The digest of the body that its tries carry.
+    pub body: u64,
+    /// How long it is remembered.
+    pub until: Unix,
+    /// What became of its run.
+    pub fate: Fate,
+}
+
+/// What a process hands to the next: at first the whole table of keys, then what changes in it.
+#[derive(Debug, Default)]
+pub struct Estate {
+    /// How bodies are digested.
+    pub seed: u64,
+    /// The keys.
+    pub keys: Vec<KeyRecord>,
+}
+
 /// What the core is told.
 #[derive(Debug)]
 pub enum Input {
@@ -123,6 +160,14 @@
     Drain(Unix),
     /// Operators send front ends away, or let them come again.
     Away(bool),
+    /// A new process takes over; it is told here what this one knows.
+    HandOver(mpsc::Sender<Estate>),
+    /// That process has gone.
+    HeirGone,
+    /// What the process before this one knew, or what has changed in that.
+    Inherit(Estate),
+    /// The process before this one tells nothing more.
+    InheritanceOver,
 }
 
 /// How a run ended.
@@ -217,6 +262,10 @@
     pub idle: Option<Duration>,
     /// The notice to leave has come: when the process is stopped, and when the notice came.
     pub draining: Option<(Unix, Unix)>,
+    /// A new process serves who comes now; this one answers what it has read.
+    pub handed: bool,
+    /// What the process before knew is still to come.
+    pub inheriting: bool,
     /// Requests that arrive are still read.
     pub open: bool,
     /// After the notice to leave: all requests in hand have their answers.
@@ -229,9 +278,15 @@
         self.good == Some(true) && !self.away
     }
 
-    /// Whether requests can be served: the decisions have begun, and no notice to leave has come.
+    /// Whether requests can be served: the decisions have begun with all that the process before knew, and
+    /// nothing makes this one leave.
     pub fn serves(&self) -> bool {
-        self.good.is_some() && self.draining.is_none()
+        self.good.is_some() && !self.inheriting && !self.handed && self.draining.is_none()
+    }
+
+    /// Whether new connections are taken.
+    pub fn takes_clients(&self) -> bool {
+        self.open && !self.handed
     }
 }
 
@@ -266,12 +321,22 @@
     pub calls: mpsc::Receiver<CallCommand>,
 }
 
-/// A new exchange: the handle, the core's ends and the backends' ends.
-pub fn new() -> (Exchange, CoreEnds, BackendEnds) {
+/// A new exchange: the handle, the core's ends and the backends' ends. `inheriting`: a process before this one
+/// is to tell what it knows.
+pub fn new(inheriting: bool) -> (Exchange, CoreEnds, BackendEnds) {
     let (inbox, core_inbox) = mpsc::channel(INBOX);
     let (runs, backend_runs) = mpsc::channel(COMMANDS);
     let (calls, backend_calls) = mpsc::channel(COMMANDS);
-    let state = State { good: None, away: false, idle: None, draining: None, open: true, answered: false };
+    let state = State {
+        good: None,
+        away: false,
+        idle: None,
+        draining: None,
+        handed: false,
+        inheriting,
+        open: true,
+        answered: false,
+    };
     let (state, seen) = watch::channel(state);
     let figures = Rc::new(Figures::default());
     let core = CoreEnds { inbox: core_inbox, runs, calls, state, figures: figures.clone() };
@@ -314,6 +379,26 @@
         self.tell(Input::Away(away)).await;
     }
 
+    /// A new process takes over, and is told there what this one knows.
+    pub async fn hand_over(&self, tell: mpsc::Sender<Estate>) {
+        self.tell(Input::HandOver(tell)).await;
+    }
+
+    /// The process that took over has gone.
+    pub async fn heir_gone(&self) {
+        self.tell(Input::HeirGone).await;
+    }
+
+    /// What the process before this one knew.
+    pub async fn inherit(&self, estate: Estate) {
+        self.tell(Input::Inherit(estate)).await;
+    }
+
+    /// The process before this one tells nothing more.
+    pub async fn inheritance_over(&self) {
+        self.tell(Input::InheritanceOver).await;
+    }
+
     /// What this process has done.
     pub fn figures(&self) -> &Figures {
         &self.figures
--- a/node/src/fronts/jsonrpc.rs
+++ b/node/src/fronts/jsonrpc.rs
@@ -176,7 +176,7 @@
         loop {
             let draining = {
                 let state = self.state.borrow();
-                state.draining.is_some() && !(born_draining && state.open)
+                state.handed || (state.draining.is_some() && !(born_draining && state.open))
             };
             if draining && self.told.is_none() {
                 self.tell_to_leave();
--- /dev/null
+++ b/node/src/handover.rs
@@ -0,0 +1,221 @@
+//! An upgrade in place: a new process takes over from the one that serves, so that to clients both are one node.
+//! They meet on a Unix socket in `$TMPDIR`, and speak lines:
+//!
+//! | from | line | meaning |
+//! | --- | --- | --- |
+//! | new | `TAKE` | it listens and can serve; the old one sends its clients over and closes its listeners |
+//! | old | `SEED HEX` | how bodies are digested |
+//! | old | `KEY DIGEST UNTIL FATE CLASS KEY LENGTH` | a remembered key; class, key and result follow, of which the first two have these lengths |
+//! | old | `ALL` | the table is whole; each `KEY` after that tells how a run ended |
+//!
+//! Nothing new is run for a key on either side between the two: the old one turns keys away that it does not
+//! know, and the new one holds keyed requests back. So no key runs twice, though either may get a try of it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use bytes::{BufMut, Bytes, BytesMut};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::mpsc;
+
+use crate::clock::{self, Unix};
+use crate::exchange::{Estate, Exchange, Fate, KeyRecord};
+use crate::lines::{self, put, Message, MAX_BODY};
+use crate::log;
+
+/// The old process owes its table this long after it was asked, and the new one its word after it connected.
+const OWED: Duration = Duration::from_secs(2);
+/// Ends of runs that may wait to be told. Who has more to tell ends the handing over.
+const TOLD: usize = 1024;
+
+/// Where the process that serves this address hears its successor; nowhere without a folder of their own, or
+/// where every process gets a port of its own.
+pub fn place(listen: SocketAddr) -> Option<PathBuf> {
+    let folder = std::env::var_os("TMPDIR").filter(|_| listen.port() != 0)?;
+    let name = listen.to_string().replace([':', '[', ']'], "_");
+    Some(PathBuf::from(folder).join(format!("oakwind-{name}.sock")))
+}
+
+/// Whether a process serves there now.
+pub async fn serves_already(place: Option<&Path>) -> bool {
+    match place {
+        Some(place) => UnixStream::connect(place).await.is_ok(),
+        None => false,
+    }
+}
+
+/// Takes over, and tells the core what the old process knew and goes on to tell. Ends with that process.
+pub async fn inherit(place: PathBuf, exchange: Exchange) {
+    let ended = async {
+        let mut old = UnixStream::connect(place).await?;
+        learn(&mut old, &exchange).await
+    };
+    // With a whole table this is just the end of the old process.
+    if let Err(e) = ended.await {
+        log!("handover: the link to the process before has ended: {e}");
+    }
+    exchange.inheritance_over().await;
+}
+
+async fn learn(old: &mut UnixStream, exchange: &Exchange) -> io::Result<()> {
+    old.write_all(b"TAKE\r\n").await?;
+    let (mut input, mut estate, mut whole) = (BytesMut::new(), Estate::default(), false);
+    let owed = clock::now() + OWED;
+    loop {
+        while let Some(message) = lines::take(&mut input, |words| words.next() == Some(b"KEY"))? {
+            match &message.word(0)[..] {
+                b"SEED" => estate.seed = seed(&message)?,
+                b"KEY" => estate.keys.push(record(&message)?),
+                b"ALL" => whole = true,
+                _ => return Err(message.nonsense().into()),
+            }
+        }
+        if whole && (!estate.keys.is_empty() || exchange.state().borrow().inheriting) {
+            let keys = std::mem::take(&mut estate.keys);
+            exchange.inherit(Estate { seed: estate.seed, keys }).await;
+        }
+        tokio::select! {
+            read = old.read_buf(&mut input) => if read? == 0 { return Err(io::ErrorKind::UnexpectedEof.into()) },
+            () = clock::until(owed), if !whole => return Err(lines::stalled()),
+        }
+    }
+}
+
+/// Hears successors there, and hands over to the one that comes; again if that one ends and nobody else serves.
+pub async fn bequeath(place: &Path, exchange: Exchange) {
+    loop {
+        // What is there is the socket of a process that has handed over, or has ended.
+        let _ = std::fs::remove_file(place);
+        let listener = match UnixListener::bind(place) {
+            Ok(listener) => listener,
+            Err(e) => return log!("handover: no upgrade in place is possible: {}: {e}", place.display()),
+        };
+        while !hand_over(&listener, &exchange).await {}
+        if serves_already(Some(place)).await {
+            return;
+        }
+        // Guards clients against a new process that fails: this one serves on.
+        log!("handover: the new process has ended");
+        exchange.heir_gone().await;
+    }
+}
+
+/// Hands over to the next that comes, until that ends; false if it does not take over.
+async fn hand_over(listener: &UnixListener, exchange: &Exchange) -> bool {
+    let mut heir = match listener.accept().await {
+        Ok((heir, _)) => heir,
+        Err(e) => {
+            log!("handover: a successor was not heard: {e}");
+            clock::until(clock::now() + OWED).await;
+            return false;
+        }
+    };
+    let mut word = [0; 6];
+    tokio::select! {
+        // Who says nothing only asks whether a process serves here.
+        read = heir.read_exact(&mut word) => if read.is_err() || &word != b"TAKE\r\n" { return false },
+        () = clock::until(clock::now() + OWED) => return false,
+    }
+    log!("handover: a new process takes over");
+    let (tell, mut told) = mpsc::channel(TOLD);
+    exchange.hand_over(tell).await;
+    let (mut output, mut first, mut none) = (BytesMut::new(), true, [0]);
+    loop {
+        tokio::select! {
+            estate = told.recv() => {
+                let Some(Estate { seed, keys }) = estate else { break };
+                if first {
+                    put(&mut output, &[b"SEED", format!("{seed:x}").as_bytes()], None);
+                }
+                keys.iter().for_each(|key| put_record(&mut output, key));
+                if std::mem::take(&mut first) {
+                    put(&mut output, &[b"ALL"], None);
+                }
+                if let Err(e) = heir.write_all_buf(&mut output).await {
+                    log!("handover: the new process is not reached: {e}");
+                    break;
+                }
+            }
+            _ = heir.read(&mut none) => break,
+        }
+    }
+    true
+}
+
+fn seed(message: &Message) -> Result<u64, lines::Nonsense> {
+    let word = message.word(1);
+    let text = std::str::from_utf8(&word).ok();
+    text.and_then(|text| u64::from_str_radix(text, 16).ok()).ok_or_else(|| message.nonsense())
+}
+
+fn put_record(output: &mut BytesMut, record: &KeyRecord) {
+    let KeyRecord { class, key, body, until, fate } = record;
+    let known = class.len() + key.len();
+    let (word, result) = match fate {
+        Fate::Open => ("open", &[][..]),
+        Fate::Done(result) if known + result.len() <= MAX_BODY => ("done", &result[..]),
+        // Too long for a line: that it has run must be known all the same.
+        Fate::Done(_) | Fate::Failed => ("failed", &[][..]),
+        Fate::NeverRan => ("free", &[][..]),
+    };
+    let head = format!("{body:x} {} {word} {} {}", until.as_millis(), class.len(), key.len());
+    let mut rest = BytesMut::with_capacity(known + result.len());
+    rest.put_slice(class.as_bytes());
+    rest.put_slice(key);
+    rest.put_slice(result);
+    put(output, &[b"KEY", head.as_bytes()], Some(&rest));
+}
+
+fn record(message: &Message) -> Result<KeyRecord, lines::Nonsense> {
+    let rest = message.body.clone().unwrap_or_default();
+    let (class, key): (usize, usize) = (message.number(4)?, message.number(5)?);
+    let end = class.checked_add(key).filter(|end| *end <= rest.len()).ok_or_else(|| message.nonsense())?;
+    let fate = match &message.word(3)[..] {
+        b"open" => Fate::Open,
+        b"done" => Fate::Done(rest.slice(end..)),
+        b"failed" => Fate::Failed,
+        b"free" => Fate::NeverRan,
+        _ => return Err(message.nonsense()),
+    };
+    let until: Unix = Duration::from_millis(message.number(2)?);
+    // Kept results outlive the buffer that they were read into.
+    let copied = |slice: &[u8]| Bytes::copy_from_slice(slice);
+    Ok(KeyRecord {
+        class: String::from_utf8(rest[..class].to_vec()).map_err(|_| message.nonsense())?,
+        key: copied(&rest[class..end]),
+        body: seed(message)?,
+        until,
+        fate: if let Fate::Done(result) = fate { Fate::Done(copied(&result)) } else { fate },
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn records_arrive_as_they_were_sent_whatever_bytes_they_hold() {
+        let record_of = |fate| KeyRecord {
+            class: "book at once".into(),
+            key: Bytes::from_static(b"\r\n \xff"),
+            body: u64::MAX,
+            until: Duration::from_millis(1_764_576_000_123),
+            fate,
+        };
+        for fate in [Fate::Open, Fate::Done("x\r\n".into()), Fate::Failed, Fate::NeverRan] {
+            let (sent, mut buffer) = (record_of(fate), BytesMut::new());
+            put_record(&mut buffer, &sent);
+            let message = lines::take(&mut buffer, |words| words.next() == Some(b"KEY")).unwrap().unwrap();
+            assert_eq!(record(&message).unwrap(), sent);
+        }
+        let mut buffer = BytesMut::new();
+        put_record(&mut buffer, &record_of(Fate::Done(vec![0; MAX_BODY].into())));
+        let message = lines::take(&mut buffer, |_| true).unwrap().unwrap();
+        assert_eq!(record(&message).unwrap().fate, Fate::Failed);
+        let mut wrong = BytesMut::from(&b"KEY 1 2 open 9 9 1\r\nx\r\n"[..]);
+        assert!(record(&lines::take(&mut wrong, |_| true).unwrap().unwrap()).is_err());
+    }
+}
--- a/node/src/backends/lines.rs
+++ b/node/src/lines.rs
@@ -1,14 +1,14 @@
 //! Lines of words ending in CR LF, some followed by as many bytes as their last word says and a CR LF.
 
-use std::io;
+use std::io::{self, Write};
 
-use bytes::{Bytes, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 /// Longest line and longest body; what is longer is nonsense.
 const MAX_LINE: usize = 16 * 1024;
-const MAX_BODY: usize = 256 * 1024;
+pub const MAX_BODY: usize = 256 * 1024;
 /// Bytes that may wait to be written before nothing more is taken on.
 const MAX_UNWRITTEN: usize = 1024 * 1024;
 
@@ -106,6 +106,22 @@
     Ok(Some(Message { line: whole.slice(..end - 1), body: Some(body) }))
 }
 
+/// Writes a line of words, and the bytes that it announces.
+pub fn put(output: &mut BytesMut, words: &[&[u8]], body: Option<&[u8]>) {
+    for (i, word) in words.iter().enumerate() {
+        if i > 0 {
+            output.put_u8(b' ');
+        }
+        output.put_slice(word);
+    }
+    if let Some(body) = body {
+        // Writing to memory does not fail.
+        let _ = write!(output.writer(), " {}\r\n", body.len());
+        output.put_slice(body);
+    }
+    output.put_slice(b"\r\n");
+}
+
 /// A link: what was read and not yet understood, and what is still to be written.
 #[derive(Debug)]
 pub struct Link {
--- a/node/src/membership.rs
+++ b/node/src/membership.rs
@@ -22,7 +22,17 @@
     let mut socket = None;
     loop {
         let Some(service) = links.borrow_and_update().members else { return };
-        let leaving = state.borrow_and_update().draining.is_some();
+        let (leaving, handed) = {
+            let state = state.borrow_and_update();
+            (state.draining.is_some(), state.handed)
+        };
+        if handed {
+            // The new process reports under the same name.
+            if state.wait_for(|state| !state.handed).await.is_err() {
+                return;
+            }
+            continue;
+        }
         let word = if leaving { "OUT" } else { "UP" };
         if let Err(e) = send(&mut socket, service, &format!("HB {name} {word}")).await {
             log!("membership: not reported: {e}");
@@ -35,7 +45,7 @@
             () = clock::until(next) => {}
             // The service at a new address hears at once.
             Ok(()) = links.changed() => {}
-            _ = state.wait_for(|state| state.draining.is_some()) => {}
+            _ = state.wait_for(|state| state.draining.is_some() || state.handed) => {}
         }
     }
 }
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -1,5 +1,6 @@
 //! Puts a node together and runs it until it has drained.
 
+use std::convert::Infallible;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -7,7 +8,7 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
@@ -18,14 +19,16 @@
 use crate::backends::uwsgi::{self as client, Servers};
 use crate::config::{Config, Files, Links, Uwsgi};
 use crate::core::Core;
-use crate::exchange::{self, Exchange, State};
+use crate::exchange::{self, Exchange};
 use crate::fronts::guests::{Guest, Guests};
 use crate::fronts::uwsgi::{self, Front, Ids};
 use crate::fronts::{jsonrpc, Names};
 use crate::operators::{self, Office};
-use crate::{clock, log, membership, vrrp};
+use crate::{clock, handover, log, membership, vrrp};
 
-/// Between two attempts to open the uwsgi listener.
+/// Connections that the system may keep until they are accepted.
+const BACKLOG: u32 = 1024;
+/// Between two attempts to open a listener.
 const REBIND: Duration = Duration::from_millis(100);
 /// Descriptors kept for what is no client's connection: listeners, links, signals and the runtime's own.
 const RESERVED: usize = 24;
@@ -47,14 +50,16 @@
 async fn run(files: &Files, config: Config, uwsgi: Option<Uwsgi>) -> Result<(), String> {
     // Comes first: a signal that nobody hears yet would end the process.
     let (notice, hangup) = signals().map_err(|e| format!("no signals: {e}"))?;
-    let (exchange, core, backends) = exchange::new();
+    let place = handover::place(config.listen);
+    let upgrade = handover::serves_already(place.as_deref()).await;
+    let (exchange, core, backends) = exchange::new(upgrade);
     let (changed, links) = watch::channel(config.links);
     let settings = &config.settings;
-    // All that can fail comes before anything is served.
-    let listener = bind("listen", config.listen).await?;
+    // With a folder that a next process finds it by, both may listen at once.
+    let shared = place.is_some();
     let names = Rc::new(Names::new(settings));
     if let Some(ops) = config.ops {
-        let listener = bind("ops", ops).await?;
+        let listener = bind("ops", ops, false)?;
         log!("operators call at {}", address(&listener));
         let office = Rc::new(Office { exchange: exchange.clone(), names: names.clone() });
         let answer = move |stream, guest| operators::serve(stream, guest, office.clone());
@@ -64,24 +69,10 @@
     let Room { platform, second, backends: each } =
         Room::new(config.sockets.saturating_sub(own), uwsgi.is_some());
     let (platform, second) = (Guests::new(platform), Guests::new(second));
-    if let Some(uwsgi) = &uwsgi {
-        let ids = Ids::new(config.seed ^ u64::from(clock::now().subsec_nanos()));
-        let front = Rc::new(Front { exchange: exchange.clone(), names: names.clone(), ids });
-        let active = match &uwsgi.vrrp {
-            Some(vrrp) => {
-                let socket =
-                    vrrp::bind(vrrp).await.map_err(|e| format!("vrrp.listen: {}: {e}", vrrp.listen))?;
-                let (told, active) = watch::channel(false);
-                spawn_local(vrrp::run(vrrp.clone(), socket, told, exchange.clone()));
-                active
-            }
-            None => {
-                // A front that can't open is found out now.
-                drop(bind("uwsgi listen", uwsgi.listen).await?);
-                watch::channel(true).1
-            }
-        };
-        spawn_local(while_active(uwsgi.listen, active, exchange.clone(), second.clone(), front));
+    let (told, active) = watch::channel(false);
+    if let Some(vrrp) = uwsgi.as_ref().and_then(|uwsgi| uwsgi.vrrp.as_ref()) {
+        let socket = vrrp::bind(vrrp).await.map_err(|e| format!("vrrp.listen: {}: {e}", vrrp.listen))?;
+        spawn_local(vrrp::run(vrrp.clone(), socket, told, exchange.clone()));
     }
     let begun = links.borrow().clone();
     if begun.runs.is_empty() {
@@ -99,15 +90,45 @@
         let servers = Servers::new(links.clone(), |links| &links.calls, settings);
         spawn_local(call(servers, exchange.clone(), backends.calls, each));
     }
-    spawn_local(membership::report(config.name.clone(), links, exchange.clone()));
     spawn_local(Core::new(core, config.settings, config.seed, config.memory / RESULTS).run());
-    log!("{} serves JSON-RPC at {}", config.name, address(&listener));
     let front = {
-        let exchange = exchange.clone();
+        let (exchange, names) = (exchange.clone(), names.clone());
         move |stream, guest| jsonrpc::serve(stream, guest, exchange.clone(), names.clone())
     };
-    let open = exchange.state();
-    spawn_local(accept(listener, while_open(open), platform.clone(), front));
+    let second_front = uwsgi.as_ref().map(|uwsgi| {
+        let ids = Ids::new(config.seed ^ u64::from(clock::now().subsec_nanos()));
+        let front = Rc::new(Front { exchange: exchange.clone(), names, ids });
+        let serve = move |stream, guest| uwsgi::serve(stream, guest, front.clone());
+        (uwsgi.listen, uwsgi.vrrp.is_some(), serve)
+    });
+    let serving = async {
+        if upgrade {
+            // Nothing comes here before it can be served.
+            let up = exchange.state().wait_for(|state| state.good.is_some()).await.is_ok();
+            log!("handover: {}", if up { "takes over" } else { "nothing to take over with" });
+        }
+        let listener = bind("listen", config.listen, shared)?;
+        let always = watch::channel(true).1;
+        let listening = Listening { what: "JSON-RPC", listen: config.listen, shared, active: always.clone() };
+        spawn_local(listening.keep(Some(listener), exchange.clone(), platform.clone(), front));
+        if let Some((listen, routed, serve)) = second_front {
+            // A front that can't open is found out now.
+            let first = if routed { None } else { Some(bind("uwsgi listen", listen, shared)?) };
+            let active = if routed { active } else { always };
+            let listening = Listening { what: "uwsgi", listen, shared, active };
+            spawn_local(listening.keep(first, exchange.clone(), second.clone(), serve));
+        }
+        spawn_local(membership::report(config.name.clone(), links, exchange.clone()));
+        if let Some(place) = &place {
+            if upgrade {
+                spawn_local(handover::inherit(place.clone(), exchange.clone()));
+                let known = exchange.state().wait_for(|state| !state.inheriting).await.is_ok();
+                log!("handover: {}", if known { "has taken over" } else { "nothing is known" });
+            }
+            handover::bequeath(place, exchange.clone()).await;
+        }
+        std::future::pending::<Result<Infallible, String>>().await
+    };
     let draining = async {
         notice.await;
         let stop = clock::now() + config.stop;
@@ -118,6 +139,7 @@
     tokio::select! {
         () = draining => {}
         () = reloads(files, hangup, changed, &exchange) => {}
+        failed = serving => return failed.map(|never| match never {}),
     }
     log!("{} has drained", config.name);
     Ok(())
@@ -170,8 +192,16 @@
     std::future::pending().await
 }
 
-async fn bind(key: &str, address: SocketAddr) -> Result<TcpListener, String> {
-    TcpListener::bind(address).await.map_err(|e| format!("{key}: {address}: {e}"))
+/// Opens a listener; `shared` if a next process may open it too while this one serves.
+fn bind(key: &str, address: SocketAddr, shared: bool) -> Result<TcpListener, String> {
+    let open = || {
+        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        socket.set_reuseport(shared)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    open().map_err(|e: io::Error| format!("{key}: {address}: {e}"))
 }
 
 /// Where a listener listens, with the port that the system chose for 0.
@@ -179,50 +209,57 @@
     listener.local_addr().map_or_else(|e| e.to_string(), |address| address.to_string())
 }
 
-/// Ends once requests are read no more.
-async fn while_open(mut state: watch::Receiver<State>) {
-    let _ = state.wait_for(|state| !state.open).await;
+/// A listener that is open while clients are taken.
+struct Listening {
+    /// What is served there.
+    what: &'static str,
+    listen: SocketAddr,
+    shared: bool,
+    /// Whether this node has the role of its virtual router, if there is one.
+    active: watch::Receiver<bool>,
 }
 
-/// Serves uwsgi whenever this node is active. What was read when it no longer is, is still answered.
-async fn while_active(
-    listen: SocketAddr,
-    mut active: watch::Receiver<bool>,
-    exchange: Exchange,
-    guests: Rc<Guests>,
-    front: Rc<Front>,
-) {
-    let mut leaves = exchange.state();
-    loop {
-        tokio::select! {
-            () = while_open(exchange.state()) => return,
-            became = active.wait_for(|active| *active) => {
-                // Without a virtual router the sender is gone, and the last word holds.
-                if became.is_err() {
-                    return;
-                }
-            }
-        }
-        let Ok(listener) = bind("uwsgi listen", listen).await.inspect_err(|e| log!("{e}")) else {
-            // Who was active before may hold the address for a moment.
-            tokio::select! {
-                () = clock::until(clock::now() + REBIND) => continue,
-                _ = leaves.wait_for(|state| !state.open) => return,
+impl Listening {
+    /// Serves whenever this node is active and no new process has taken over. What was read by then is still
+    /// answered.
+    async fn keep<F: Future<Output = ()> + 'static>(
+        mut self,
+        mut first: Option<TcpListener>,
+        exchange: Exchange,
+        guests: Rc<Guests>,
+        serve: impl Fn(TcpStream, Guest) -> F,
+    ) {
+        let mut state = exchange.state();
+        let what = self.what;
+        loop {
+            // The state lasts as long as the process.
+            if state.wait_for(|state| !state.handed || !state.open).await.map_or(true, |state| !state.open) {
+                return;
             }
-        };
-        log!("uwsgi is served at {}", address(&listener));
-        let mut active = active.clone();
-        let until = async {
             tokio::select! {
-                () = while_open(exchange.state()) => {}
-                // An error means that there is no virtual router to lose the role.
-                Ok(_) = active.wait_for(|active| !*active) => {}
+                _ = state.wait_for(|state| !state.takes_clients()) => continue,
+                became = self.active.wait_for(|active| *active) => if became.is_err() { return },
             }
-        };
-        let front = front.clone();
-        let serve = move |stream, guest| uwsgi::serve(stream, guest, front.clone());
-        accept(listener, until, guests.clone(), serve).await;
-        log!("uwsgi is no longer served at {listen}");
+            let listener = match first.take() {
+                Some(listener) => Ok(listener),
+                None => bind(what, self.listen, self.shared),
+            };
+            let Ok(listener) = listener.inspect_err(|e| log!("{e}")) else {
+                // Who was active before may hold the address for a moment.
+                clock::until(clock::now() + REBIND).await;
+                continue;
+            };
+            log!("{what} is served at {}", address(&listener));
+            let until = async {
+                tokio::select! {
+                    _ = state.wait_for(|state| !state.takes_clients()) => {}
+                    // An error means that there is no virtual router to lose the role.
+                    Ok(_) = self.active.wait_for(|active| !*active) => {}
+                }
+            };
+            accept(listener, until, guests.clone(), &serve).await;
+            log!("{what} is no longer served at {}", self.listen);
+        }
     }
 }
 
@@ -243,7 +280,7 @@
 async fn drained(exchange: &Exchange, stop: clock::Unix, closed: impl Future) {
     let mut state = exchange.state();
     let over = async {
-        let answered = state.wait_for(|state| !state.open && state.answered).await;
+        let answered = state.wait_for(|state| !state.takes_clients() && state.answered).await;
         drop(answered);
         closed.await;
     };
--- a/node/tests/sockets/helper.rs
+++ b/node/tests/sockets/helper.rs
@@ -3,7 +3,7 @@
 
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver};
@@ -49,7 +49,7 @@
 
 pub fn oakwind(arguments: &[&str]) -> Command {
     let mut command = Command::new(env!("CARGO_BIN_EXE_oakwind"));
-    command.args(arguments).env_remove("BALANCER_CONFIG").stdin(Stdio::null());
+    command.args(arguments).env_remove("BALANCER_CONFIG").env_remove("TMPDIR").stdin(Stdio::null());
     command
 }
 
@@ -70,6 +70,13 @@
 impl Node {
     /// Starts it; `uwsgi` is the text of a uwsgi file, if any.
     pub fn start(config: &str, uwsgi: Option<&str>) -> Node {
+        let mut node = Node::spawn(config, uwsgi, None);
+        node.serves();
+        node
+    }
+
+    /// Starts it, with a folder of its own if it shares one with another process.
+    pub fn spawn(config: &str, uwsgi: Option<&str>, folder: Option<&Path>) -> Node {
         let path = file("config.json", config);
         let mut command = oakwind(&["serve", "--config", path.to_str().unwrap()]);
         let mut files = vec![path];
@@ -77,13 +84,19 @@
             files.push(file("uwsgi.toml", text));
             command.arg("--uwsgi").arg(&files[1]);
         }
+        if let Some(folder) = folder {
+            command.env("TMPDIR", folder);
+        }
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let lines = BufReader::new(child.stderr.take().unwrap()).lines();
         let (say, log) = channel();
         std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| say.send(line)));
-        let mut node = Node { child, log, said: Vec::new(), files, json: ([127, 0, 0, 1], 0).into() };
-        node.json = node.address("serves JSON-RPC at ");
-        node
+        Node { child, log, said: Vec::new(), files, json: ([127, 0, 0, 1], 0).into() }
+    }
+
+    /// Waits until it takes clients.
+    pub fn serves(&mut self) {
+        self.json = self.address("JSON-RPC is served at ");
     }
 
     /// One with a stand-in interpreter, whose link is up.
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -5,5 +5,6 @@
 mod jsonrpc;
 mod links;
 mod operators;
+mod upgrade;
 mod uwsgi;
 mod vrrp;
--- /dev/null
+++ b/node/tests/sockets/upgrade.rs
@@ -0,0 +1,102 @@
+//! A new process takes over from the one that serves.
+
+use crate::helper::*;
+use std::net::TcpListener;
+use std::path::PathBuf;
+
+/// What two processes of one node share: an address that only this test uses, a folder, and a uwsgi front.
+struct Place {
+    json: String,
+    uwsgi: String,
+    folder: PathBuf,
+}
+
+impl Place {
+    fn new(host: &str) -> Place {
+        let free = || TcpListener::bind((host, 0)).unwrap().local_addr().unwrap().to_string();
+        let folder = file("folder", "").with_extension("d");
+        std::fs::create_dir(&folder).unwrap();
+        Place { json: free(), uwsgi: free(), folder }
+    }
+
+    /// One more process of the node, with an interpreter of its own whose link is up.
+    fn start(&self) -> (Node, Peer) {
+        let vm = Server::new();
+        let config = config(&format!(r#""vm": "{}","#, vm.address)).replace("127.0.0.1:0", &self.json);
+        let mut node =
+            Node::spawn(&config, Some(&format!("listen = '{}'\n", self.uwsgi)), Some(&self.folder));
+        let link = vm.interpreter("0");
+        node.serves();
+        node.uwsgi();
+        (node, link)
+    }
+
+    fn uwsgi(&self, key: &str) -> Peer {
+        let mut old = Peer::connect(self.uwsgi.parse().unwrap());
+        old.say(packet(&[("PATH_INFO", "/book"), ("HTTP_IDEMPOTENCY_KEY", key)], "body"));
+        old
+    }
+}
+
+#[test]
+fn a_new_process_takes_the_clients_and_runs_no_key_that_the_old_one_has() {
+    let place = Place::new("127.0.3.1");
+    let (mut old, mut old_vm) = place.start();
+    let mut before = old.client();
+    for (id, txn, key) in [(1, "a1", "ended"), (2, "a2", "runs"), (3, "a3", "fails")] {
+        before.request(id, txn, Some(key), LONG);
+        old_vm.apply();
+    }
+    old_vm.value(1, "a1", "done", "first");
+    let result = before.line().replace("\"id\":1,", "");
+    let (mut new, mut new_vm) = place.start();
+    new.logs("has taken over");
+    // Those of before are sent away and answered, those of now reach the new process alone.
+    assert!(before.line().contains("draining"));
+    old.logs("uwsgi is no longer served at");
+    let mut client = new.client();
+    client.request(1, "b1", Some("ended"), LONG);
+    assert_eq!(client.line().replace("\"id\":1,", ""), result);
+    assert!(place.uwsgi("ended").rest().ends_with("first"), "over the other front as well");
+    client.request(2, "b2", Some("runs"), LONG);
+    client.request(3, "b3", Some("fails"), LONG);
+    let mut other = place.uwsgi("runs");
+    client.request(4, "b4", Some("fresh"), LONG);
+    assert_eq!(new_vm.apply().0, "b4", "nothing else runs here");
+    // What the old process does not know it runs no more.
+    before.request(4, "a4", Some("late"), LONG);
+    assert!(before.line().contains("-32011"));
+    old.terminate();
+    old_vm.value(2, "a2", "done", "second");
+    let result = before.line().replace("\"id\":2,", "");
+    assert_eq!(client.line().replace("\"id\":2,", ""), result);
+    assert!(other.rest().ends_with("second"));
+    old_vm.value(3, "a3", "crashed", "");
+    assert!(before.line().contains("-32000"));
+    assert!(client.line().contains("\"id\":3,\"error\":{\"code\":-32000"));
+    drop(before);
+    old.ends();
+    new_vm.value(1, "b4", "done", "x");
+    assert!(client.line().contains("\"id\":4,\"result\""));
+}
+
+#[test]
+fn what_the_old_process_took_with_it_has_failed_and_one_that_lost_its_successor_serves_on() {
+    let place = Place::new("127.0.3.2");
+    let (mut old, mut old_vm) = place.start();
+    let (mut new, _new_vm) = place.start();
+    new.logs("has taken over");
+    old.logs("JSON-RPC is no longer served at");
+    drop(new);
+    old.serves();
+    old.uwsgi();
+    let mut client = old.client();
+    client.request(1, "a1", Some("k"), LONG);
+    old_vm.apply();
+    let (mut new, _new_vm) = place.start();
+    new.logs("has taken over");
+    let mut after = new.client();
+    after.request(1, "b1", Some("k"), LONG);
+    drop(old);
+    assert!(after.line().contains("-32000"), "it may have run");
+}
