Take settings over at SIGHUP: classes come and go, and a key names one request in any class

A file is turned down whole that lacks a key which the one before had, as what is left out would be taken for its default.

A key is one request's now, whatever class it names.

--- a/node/src/backends/interpreter.rs
+++ b/node/src/backends/interpreter.rs
@@ -15,6 +15,7 @@
 use crate::exchange::{End, Exchange, Report, Request, RunCommand};
 use crate::lines::{self, put, Link, Message};
 use crate::log;
+use crate::names::Names;
 
 /// Between two attempts at a link; one that held for longer is made anew at once.
 const RETRY: Duration = Duration::from_millis(50);
@@ -52,7 +53,7 @@
     links: watch::Receiver<Links>,
     exchange: Exchange,
     commands: mpsc::Receiver<RunCommand>,
-    classes: Vec<String>,
+    names: Rc<Names>,
     runs: BTreeMap<Bytes, Run>,
     /// The last notice that was read.
     read: u64,
@@ -60,14 +61,14 @@
 }
 
 impl Interpreter {
-    /// The link to the interpreter at the address of the day, where classes have these names.
+    /// The link to the interpreter at the address of the day, where classes go by their names.
     pub fn new(
         links: watch::Receiver<Links>,
         exchange: Exchange,
         commands: mpsc::Receiver<RunCommand>,
-        classes: Vec<String>,
+        names: Rc<Names>,
     ) -> Self {
-        Interpreter { links, exchange, commands, classes, runs: BTreeMap::new(), read: 0, started: None }
+        Interpreter { links, exchange, commands, names, runs: BTreeMap::new(), read: 0, started: None }
     }
 
     /// Holds the link for as long as there are commands to come.
@@ -262,7 +263,7 @@
 
     fn apply(&self, txn: &Bytes, output: &mut BytesMut) {
         let Some(run) = self.runs.get(txn) else { return };
-        let class = self.classes.get(usize::from(run.request.class)).map_or("", String::as_str);
+        let class = self.names.of_class(run.request.class);
         put(output, &[b"APPLY", txn, class.as_bytes()], Some(&run.request.body));
     }
 
--- a/node/src/backends/uwsgi.rs
+++ b/node/src/backends/uwsgi.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use swiftwinch_settings::Parsed;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, watch};
@@ -19,6 +18,7 @@
 use crate::exchange::{CallEnd, End, Exchange, Report, Request, RunCommand};
 use crate::http::{MAX_FIELDS, MAX_HEAD};
 use crate::log;
+use crate::names::Names;
 use crate::uwsgi::packet;
 
 /// Longest body of a response.
@@ -51,15 +51,13 @@
     links: watch::Receiver<Links>,
     pick: Pick,
     next: Cell<usize>,
-    classes: Vec<String>,
-    tenants: Vec<String>,
+    names: Rc<Names>,
 }
 
 impl Servers {
     /// The servers at the addresses of the day; classes and tenants go by their names in the settings.
-    pub fn new(links: watch::Receiver<Links>, pick: Pick, settings: &Parsed) -> Rc<Self> {
-        let (classes, tenants) = (settings.classes.clone(), settings.tenants.clone());
-        Rc::new(Servers { links, pick, next: Cell::new(0), classes, tenants })
+    pub fn new(links: watch::Receiver<Links>, pick: Pick, names: Rc<Names>) -> Rc<Self> {
+        Rc::new(Servers { links, pick, next: Cell::new(0), names })
     }
 
     /// A connection to the first server, in turn, that takes one. A failed one proves that nothing ran.
@@ -99,8 +97,8 @@
     }
 
     fn packet(&self, request: &Request, length: usize, until: Unix) -> Option<BytesMut> {
-        let class = self.classes.get(usize::from(request.class)).map_or("", String::as_str);
-        let tenant = self.tenants.get(usize::from(request.tenant));
+        let class = self.names.of_class(request.class);
+        let tenant = self.names.of_tenant(request.tenant);
         let (path, length) = (format!("/{class}"), length.to_string());
         let deadline = until.as_millis().to_string();
         let mut vars: Vec<(&str, &[u8])> = vec![
@@ -114,7 +112,7 @@
             ("HTTP_X_DEADLINE", deadline.as_bytes()),
         ];
         vars.extend(request.key.as_ref().map(|key| ("HTTP_IDEMPOTENCY_KEY", &key[..])));
-        vars.extend(tenant.map(|tenant| ("HTTP_X_TENANT", tenant.as_bytes())));
+        vars.extend(tenant.as_ref().map(|tenant| ("HTTP_X_TENANT", tenant.as_bytes())));
         packet(&vars)
     }
 }
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -6,7 +6,8 @@
 use std::time::Duration;
 
 use serde::Deserialize;
-use serde_json::value::RawValue;
+use serde_json::value::{RawValue, Value};
+use swiftwinch::{Class, Effect};
 use swiftwinch_settings::Parsed;
 
 /// What is wrong with a configuration, in one line that names the key.
@@ -113,6 +114,8 @@
     pub memory: usize,
     /// The settings of the decisions, and their names.
     pub settings: Parsed,
+    /// All of it, as it was written.
+    pub written: Value,
 }
 
 #[derive(Deserialize)]
@@ -157,6 +160,15 @@
         if settings.classes.is_empty() {
             return bad("settings.services: names no class");
         }
+        if let Some(i) = settings.settings.classes.iter().position(|class| class.deadline.is_zero()) {
+            return bad(format!("settings.services[{i}].deadline: 0 is no time to answer in"));
+        }
+        // Guards against keys that would be forgotten while their tries still come.
+        let forgets = |class: &Class| class.effect == Effect::Keyed && class.window.is_zero();
+        if let Some(i) = settings.settings.classes.iter().position(forgets) {
+            return bad(format!("settings.services[{i}].window: missing or 0, and its keys may come again"));
+        }
+        let written = serde_json::from_str(text).map_err(|e| BadConfig(e.to_string()))?;
         let Ok(seed) = u64::from_str_radix(&raw.seed, 16) else {
             return bad(format!("seed: {:?} is not hexadecimal", raw.seed));
         };
@@ -179,15 +191,51 @@
             sockets: raw.limits.sockets,
             memory: raw.limits.memory_mb.saturating_mul(1024 * 1024),
             settings,
+            written,
         })
     }
 
+    /// The first key of `before` that this lacks. Guards a node that runs against a file that is not whole: what
+    /// is left out would be taken for its default. Of the members of a list, those keys are needed that each had.
+    pub fn lacks(&self, before: &Config) -> Option<String> {
+        lacking(&before.written, &self.written).into_iter().next()
+    }
+
     /// Reads the file.
     pub fn read(path: &Path) -> Result<Self, BadConfig> {
         Config::parse(&text_of(path)?)
     }
 }
 
+/// Where `now` lacks something that `before` has.
+fn lacking(before: &Value, now: &Value) -> Vec<String> {
+    let within = |key: &str, rest: Vec<String>| {
+        let named =
+            rest.into_iter().map(|rest| if rest.is_empty() { key.into() } else { format!("{key}.{rest}") });
+        named.collect::<Vec<String>>()
+    };
+    match (before, now) {
+        (Value::Object(before), Value::Object(now)) => {
+            let lacks = |(key, old): (&String, &Value)| match now.get(key) {
+                Some(new) => within(key, lacking(old, new)),
+                None => vec![key.clone()],
+            };
+            before.iter().flat_map(lacks).collect()
+        }
+        (Value::Array(before), Value::Array(now)) => {
+            let lacks = |(i, new): (usize, &Value)| {
+                let beside_each = before.iter().map(|old| lacking(old, new));
+                let all =
+                    beside_each.reduce(|all, one| all.into_iter().filter(|key| one.contains(key)).collect());
+                within(&i.to_string(), all.unwrap_or_default())
+            };
+            now.iter().enumerate().flat_map(lacks).collect()
+        }
+        (Value::Object(_) | Value::Array(_), _) => vec![String::new()],
+        _ => Vec::new(),
+    }
+}
+
 fn text_of(path: &Path) -> Result<String, BadConfig> {
     std::fs::read_to_string(path).map_err(|e| BadConfig(format!("{}: {e}", path.display())))
 }
@@ -353,6 +401,11 @@
             ("3000", r#""soon""#, "stop_ms"),
             (r#""stop_ms""#, r#""limits": {"sockets": "few"}, "stop_ms""#, "limits.sockets"),
             (r#""slo": 1,"#, r#""slo": -1,"#, "services[0].slo"),
+            (r#""deadline": 2"#, r#""deadline": 0"#, "services[0].deadline"),
+            (r#""deadline": 2"#, r#""deadline": "soon""#, "services[0].deadline"),
+            (r#""deadline": 2"#, r#""deadline": null"#, "services[0].deadline"),
+            (r#""deadline": 2, "#, "", "deadline"),
+            ("repeatable", "by_key", "services[0].window"),
         ];
         for (from, to, key) in cases {
             let line = problem(from, to);
@@ -360,6 +413,23 @@
         }
     }
 
+    #[test]
+    fn a_key_that_the_file_before_had_is_missed_wherever_it_was() {
+        let before = SMALL.replace(r#""effect""#, r#""lateWorth": 0.5, "effect""#).replace(
+            "}]",
+            r#"}, {"name": "book", "slo": 1, "deadline": 2, "effect": "by_key", "window": 9, "worth": 2}], "tenants": []"#,
+        );
+        let lacks = |from: &str, to: &str| {
+            assert!(before.contains(from));
+            let now = Config::parse(&before.replace(from, to)).unwrap();
+            now.lacks(&Config::parse(&before).unwrap())
+        };
+        assert_eq!(lacks("quote", "price"), None);
+        assert_eq!(lacks(r#", "tenants": []"#, ""), Some("settings.tenants".into()));
+        assert_eq!(lacks(r#""name": "book", "#, ""), Some("settings.services.1.name".into()));
+        assert_eq!(lacks(r#""lateWorth": 0.5, "#, ""), None, "not each of the classes had it");
+    }
+
     #[test]
     fn a_uwsgi_file_says_what_is_wrong_with_it() {
         let good = "listen = '127.0.0.1:0'\n[vrrp]\nvrid = 7\naddresses = ['127.0.1.1']\n\
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -222,6 +222,14 @@
             Input::Submitted(request, claim, ticket) => self.submitted(request, claim, ticket),
             Input::Gone(claim) => self.gone(&claim),
             Input::Drain(stop) => self.drain(stop),
+            Input::Retune(settings) => {
+                // What has come by now is decided by the settings that it came under.
+                self.decide(clock::now());
+                self.settings = *settings;
+                if let Some(admission) = &mut self.admission {
+                    admission.retune(self.settings.settings.clone());
+                }
+            }
             Input::HandOver(tell) => {
                 let at = clock::now() + CROSSING;
                 self.heir = Some(Heir { tell, at, told: false });
@@ -324,12 +332,9 @@
             self.keys.digests_with(estate.seed);
             log!("handover: {} keys are known from the process before", estate.keys.len());
         }
-        for KeyRecord { class, key, body, until, fate } in estate.keys {
-            // A class that this process does not know has no requests here.
-            let Some(class) = self.settings.classes.iter().position(|name| *name == class) else { continue };
+        for KeyRecord { key, body, until, fate } in estate.keys {
             let id = self.new_id();
-            let Ok(class) = u16::try_from(class) else { continue };
-            if let Some((joiners, kept)) = self.keys.inherit((class, key), (body, until, fate), id) {
+            if let Some((joiners, kept)) = self.keys.inherit(key, (body, until, fate), id) {
                 for joiner in joiners {
                     self.join_ended(joiner, &kept, now);
                 }
@@ -353,11 +358,7 @@
         let Some(heir) = self.heir.as_mut().filter(|heir| !heir.told && now >= heir.at) else { return };
         heir.told = true;
         let (seed, all) = self.keys.all();
-        let classes = &self.settings.classes;
-        let keys = all.filter_map(|((class, key), body, until, fate)| {
-            let class = classes.get(usize::from(*class))?.clone();
-            Some(KeyRecord { class, key: key.clone(), body, until, fate })
-        });
+        let keys = all.map(|(key, body, until, fate)| KeyRecord { key: key.clone(), body, until, fate });
         let estate = Estate { seed, keys: keys.collect() };
         self.tell_heir(estate);
     }
@@ -367,9 +368,8 @@
         if !self.heir_told() {
             return;
         }
-        let Some(((class, key), body, until)) = self.keys.held_by(id) else { return };
-        let Some(class) = self.settings.classes.get(usize::from(class)).cloned() else { return };
-        self.tell_heir(Estate { seed: 0, keys: vec![KeyRecord { class, key, body, until, fate }] });
+        let Some((key, body, until)) = self.keys.held_by(id) else { return };
+        self.tell_heir(Estate { seed: 0, keys: vec![KeyRecord { key, body, until, fate }] });
     }
 
     fn tell_heir(&mut self, estate: Estate) {
@@ -390,8 +390,7 @@
     /// The key of a request whose class must not run twice.
     fn key_of(&self, request: &Request) -> Option<keys::Key> {
         let class = self.settings.settings.classes.get(usize::from(request.class))?;
-        let key = request.key.clone().filter(|_| class.effect == Effect::Keyed)?;
-        Some((request.class, key))
+        request.key.clone().filter(|_| class.effect == Effect::Keyed)
     }
 
     fn gone(&mut self, claim: &Claim) {
--- a/node/src/core/keys.rs
+++ b/node/src/core/keys.rs
@@ -10,8 +10,9 @@
 use crate::clock::Unix;
 use crate::exchange::Fate;
 
-/// A class and a key in it.
-pub type Key = (u16, Bytes);
+/// A key names one request, whichever class its tries come in: guards a request against a second run where its
+/// class gets another name between two of them.
+pub type Key = Bytes;
 
 /// An entry that has run out is kept this much longer for tries that were read late: those that came to the
 /// machine in its time are still linked to it.
@@ -195,7 +196,7 @@
     /// The try holds the key until then; the key passes to it from one that held it before.
     pub fn remember(&mut self, key: Key, body: &[u8], id: RequestId, until: Unix) {
         // A key outlives the buffer that it was read into.
-        let key = (key.0, Bytes::copy_from_slice(&key.1));
+        let key = Bytes::copy_from_slice(&key);
         match self.entries.get_mut(&key) {
             Some(entry) => {
                 self.held.remove(&entry.holder);
@@ -314,7 +315,7 @@
     }
 
     fn key() -> Key {
-        (1, Bytes::from_static(b"k"))
+        Bytes::from_static(b"k")
     }
 
     /// A came at 100 s and holds its key until 117 s.
@@ -382,7 +383,7 @@
         let mut keys = keys();
         let kept = |bytes| Kept::Done(Bytes::from_static(bytes));
         assert_eq!(keys.ended(A, kept(b"seven b")), []);
-        let other = (1, Bytes::from_static(b"l"));
+        let other = Bytes::from_static(b"l");
         keys.remember(other.clone(), b"x", B, at(117));
         assert_eq!(keys.ended(B, kept(b"four")), []);
         assert_eq!(keys.join(&key(), B), Some(Kept::Failed));
--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use swiftwinch_settings::Parsed;
 use tokio::sync::{mpsc, watch};
 
 use crate::clock::Unix;
@@ -126,8 +127,6 @@
 /// A remembered key, as one process hands it to the next.
 #[derive(Debug, Clone, PartialEq)]
 pub struct KeyRecord {
-    /// The name of its class.
-    pub class: String,
     /// The key.
     pub key: Bytes,
     /// The digest of the body that its tries carry.
@@ -160,6 +159,8 @@
     Drain(Unix),
     /// Operators send front ends away, or let them come again.
     Away(bool),
+    /// Other settings hold from now on, which follow the ones before.
+    Retune(Box<Parsed>),
     /// A new process takes over; it is told here what this one knows.
     HandOver(mpsc::Sender<Estate>),
     /// That process has gone.
@@ -379,6 +380,11 @@
         self.tell(Input::Away(away)).await;
     }
 
+    /// Other settings hold from now on, which follow the ones before.
+    pub async fn retune(&self, settings: Parsed) {
+        self.tell(Input::Retune(Box::new(settings))).await;
+    }
+
     /// A new process takes over, and is told there what this one knows.
     pub async fn hand_over(&self, tell: mpsc::Sender<Estate>) {
         self.tell(Input::HandOver(tell)).await;
--- a/node/src/fronts/jsonrpc.rs
+++ b/node/src/fronts/jsonrpc.rs
@@ -16,10 +16,11 @@
 use tokio::sync::{mpsc, watch};
 
 use super::guests::{Guest, Standing, OWED};
-use super::{booked, part, Names};
+use super::{booked, part};
 use crate::clock::{self, Unix};
 use crate::exchange::{Claim, Exchange, Outcome, Request, State, Ticket};
 use crate::log;
+use crate::names::Names;
 
 /// Requests that may be open on one connection.
 const MAX_OPEN: usize = 32;
@@ -359,7 +360,7 @@
                 Ok(())
             }
             class => {
-                let Some(class) = self.names.class(class) else {
+                let Some(class) = self.names.class(class, clock::now()) else {
                     return Err(named((METHOD_NOT_FOUND, "no such method")));
                 };
                 // Without an id there is nothing to answer to, so nothing is begun, and the client hears why.
--- a/node/src/fronts/uwsgi.rs
+++ b/node/src/fronts/uwsgi.rs
@@ -20,11 +20,12 @@
 use tokio::sync::mpsc;
 
 use super::guests::{Guest, Standing, OWED};
-use super::{booked, part, Names};
+use super::{booked, part};
 use crate::clock::{self, Unix};
 use crate::exchange::{Exchange, Outcome, Request, Ticket};
 use crate::http;
 use crate::log;
+use crate::names::Names;
 use crate::uwsgi::{Head, Vars, HEAD};
 
 /// The most bytes of variables and of body.
@@ -165,7 +166,7 @@
     fn asked(&self, vars: &Vars, body: Bytes, now: Unix) -> Result<Asked, Problem> {
         let path = vars.text("PATH_INFO").ok_or(Problem::BadRequest("PATH_INFO is missing"))?;
         let name = path.strip_prefix('/').unwrap_or(path);
-        let class = match (self.names.class(name), name) {
+        let class = match (self.names.class(name, now), name) {
             (Some(class), _) => class,
             (None, "status") => return Ok(Asked::Status),
             (None, _) => return Err(Problem::NotFound),
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -5,7 +5,7 @@
 //! | --- | --- | --- |
 //! | new | `TAKE` | it listens and can serve; the old one sends its clients over and closes its listeners |
 //! | old | `SEED HEX` | how bodies are digested |
-//! | old | `KEY DIGEST UNTIL FATE CLASS KEY LENGTH` | a remembered key; class, key and result follow, of which the first two have these lengths |
+//! | old | `KEY DIGEST UNTIL FATE KEY LENGTH` | a remembered key; so many bytes of it and its result follow |
 //! | old | `ALL` | the table is whole; each `KEY` after that tells how a run ended |
 //!
 //! Nothing new is run for a key on either side between the two: the old one turns keys away that it does not
@@ -16,7 +16,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::mpsc;
@@ -152,27 +152,21 @@
 }
 
 fn put_record(output: &mut BytesMut, record: &KeyRecord) {
-    let KeyRecord { class, key, body, until, fate } = record;
-    let known = class.len() + key.len();
+    let KeyRecord { key, body, until, fate } = record;
     let (word, result) = match fate {
         Fate::Open => ("open", &[][..]),
-        Fate::Done(result) if known + result.len() <= MAX_BODY => ("done", &result[..]),
+        Fate::Done(result) if key.len() + result.len() <= MAX_BODY => ("done", &result[..]),
         // Too long for a line: that it has run must be known all the same.
         Fate::Done(_) | Fate::Failed => ("failed", &[][..]),
         Fate::NeverRan => ("free", &[][..]),
     };
-    let head = format!("{body:x} {} {word} {} {}", until.as_millis(), class.len(), key.len());
-    let mut rest = BytesMut::with_capacity(known + result.len());
-    rest.put_slice(class.as_bytes());
-    rest.put_slice(key);
-    rest.put_slice(result);
-    put(output, &[b"KEY", head.as_bytes()], Some(&rest));
+    let head = format!("{body:x} {} {word} {}", until.as_millis(), key.len());
+    put(output, &[b"KEY", head.as_bytes()], Some(&[key, result].concat()));
 }
 
 fn record(message: &Message) -> Result<KeyRecord, lines::Nonsense> {
     let rest = message.body.clone().unwrap_or_default();
-    let (class, key): (usize, usize) = (message.number(4)?, message.number(5)?);
-    let end = class.checked_add(key).filter(|end| *end <= rest.len()).ok_or_else(|| message.nonsense())?;
+    let end = Some(message.number(4)?).filter(|end| *end <= rest.len()).ok_or_else(|| message.nonsense())?;
     let fate = match &message.word(3)[..] {
         b"open" => Fate::Open,
         b"done" => Fate::Done(rest.slice(end..)),
@@ -184,8 +178,7 @@
     // Kept results outlive the buffer that they were read into.
     let copied = |slice: &[u8]| Bytes::copy_from_slice(slice);
     Ok(KeyRecord {
-        class: String::from_utf8(rest[..class].to_vec()).map_err(|_| message.nonsense())?,
-        key: copied(&rest[class..end]),
+        key: copied(&rest[..end]),
         body: seed(message)?,
         until,
         fate: if let Fate::Done(result) = fate { Fate::Done(copied(&result)) } else { fate },
@@ -199,7 +192,6 @@
     #[test]
     fn records_arrive_as_they_were_sent_whatever_bytes_they_hold() {
         let record_of = |fate| KeyRecord {
-            class: "book at once".into(),
             key: Bytes::from_static(b"\r\n \xff"),
             body: u64::MAX,
             until: Duration::from_millis(1_764_576_000_123),
@@ -215,7 +207,7 @@
         put_record(&mut buffer, &record_of(Fate::Done(vec![0; MAX_BODY].into())));
         let message = lines::take(&mut buffer, |_| true).unwrap().unwrap();
         assert_eq!(record(&message).unwrap().fate, Fate::Failed);
-        let mut wrong = BytesMut::from(&b"KEY 1 2 open 9 9 1\r\nx\r\n"[..]);
+        let mut wrong = BytesMut::from(&b"KEY 1 2 open 9 1\r\nx\r\n"[..]);
         assert!(record(&lines::take(&mut wrong, |_| true).unwrap().unwrap()).is_err());
     }
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -14,6 +14,7 @@
 mod lines;
 mod log;
 mod membership;
+mod names;
 mod operators;
 mod serve;
 mod uwsgi;
--- /dev/null
+++ b/node/src/names.rs
@@ -0,0 +1,121 @@
+//! What those who speak with other parties need of the settings: the names that classes and tenants go by, and
+//! the classes' habits. It follows the settings at a reload.
+
+use std::cell::{Cell, RefCell};
+use std::time::Duration;
+
+use swiftwinch::{Class, Effect};
+use swiftwinch_settings::Parsed;
+
+use crate::clock::Unix;
+
+/// Requests of a class that the settings no longer have are taken for so long: guards those that were on their way.
+const CROSSING: Duration = Duration::from_secs(1);
+
+/// The names and habits in the settings that hold now.
+#[derive(Debug)]
+pub struct Names {
+    known: RefCell<Parsed>,
+    /// When the settings that hold now came.
+    since: Cell<Unix>,
+}
+
+impl Names {
+    /// The names in these settings.
+    pub fn new(settings: Parsed) -> Self {
+        Names { known: RefCell::new(settings), since: Cell::default() }
+    }
+
+    /// The settings that hold now.
+    pub fn settings(&self) -> Parsed {
+        self.known.borrow().clone()
+    }
+
+    /// Other settings hold from now on, which follow the ones before.
+    pub fn follow(&self, settings: Parsed, now: Unix) {
+        self.since.set(now);
+        *self.known.borrow_mut() = settings;
+    }
+
+    /// The names of all classes, by position.
+    pub fn classes(&self) -> Vec<String> {
+        self.known.borrow().classes.clone()
+    }
+
+    /// The position of a class that requests may have now.
+    pub fn class(&self, name: &str, now: Unix) -> Option<u16> {
+        let known = self.known.borrow();
+        let crossing = now < self.since.get() + CROSSING;
+        position(&known.classes, if crossing { &[] } else { &known.retired_classes }, name)
+    }
+
+    /// The name of a class.
+    pub fn of_class(&self, class: u16) -> String {
+        self.known.borrow().classes.get(usize::from(class)).cloned().unwrap_or_default()
+    }
+
+    /// The name of a tenant, if it is one.
+    pub fn of_tenant(&self, tenant: u16) -> Option<String> {
+        self.known.borrow().tenants.get(usize::from(tenant)).cloned()
+    }
+
+    /// Whether the requests of a class carry a key.
+    pub fn keyed(&self, class: u16) -> bool {
+        self.habit(class, |class| class.effect == Effect::Keyed).unwrap_or(false)
+    }
+
+    /// How long the callers of a class wait altogether.
+    fn deadline(&self, class: u16) -> Duration {
+        self.habit(class, |class| class.deadline).unwrap_or_default()
+    }
+
+    fn habit<T>(&self, class: u16, of: impl FnOnce(&Class) -> T) -> Option<T> {
+        self.known.borrow().settings.classes.get(usize::from(class)).map(of)
+    }
+
+    /// When a request's caller stops waiting: when it says, but no later than any caller of its class would.
+    /// Guards the hold against requests that would stay in it for ever, and sums of times against overflow.
+    pub fn due(&self, class: u16, now: Unix, wanted: Option<Unix>) -> Unix {
+        let latest = now + self.deadline(class);
+        wanted.map_or(latest, |wanted| wanted.min(latest))
+    }
+
+    /// A request's hint of its work, within reason. Guards the mean of the hints, and so everyone's estimates,
+    /// against one absurd hint.
+    pub fn hint(&self, class: u16, hint: Duration) -> Duration {
+        hint.min(self.deadline(class))
+    }
+
+    /// The position of a tenant. One that the settings no longer have keeps it: its clients may not know yet.
+    pub fn tenant(&self, name: &str) -> Option<u16> {
+        position(&self.known.borrow().tenants, &[], name)
+    }
+}
+
+fn position(names: &[String], retired: &[usize], name: &str) -> Option<u16> {
+    let position = names.iter().position(|n| n == name).filter(|position| !retired.contains(position));
+    position.and_then(|position| u16::try_from(position).ok())
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn requests_on_their_way_still_find_a_class_that_has_gone_and_later_ones_do_not() {
+        let parsed = |name: &str| {
+            let text = format!(
+                r#"{{"services": [{{"name": "{name}", "slo": 1, "deadline": 2, "effect": "by_key"}}],
+                "specifics": {{"cores": 2, "memoryKb": 64.5}}, "safety": {{"drainGrace": 8, "fallMultiple": 3}}}}"#
+            );
+            swiftwinch_settings::parse(&text).unwrap()
+        };
+        let names = Names::new(parsed("book"));
+        let at = Duration::from_secs(100);
+        names.follow(names.settings().followed_by(parsed("reserve")).unwrap(), at);
+        assert_eq!((names.class("book", at), names.class("reserve", at)), (Some(0), Some(1)));
+        let later = at + CROSSING;
+        assert_eq!((names.class("book", later), names.class("reserve", later)), (None, Some(1)));
+        assert_eq!((names.of_class(0), names.keyed(0)), ("book".into(), true), "open requests keep it");
+    }
+}
--- a/node/src/operators.rs
+++ b/node/src/operators.rs
@@ -17,9 +17,10 @@
 use crate::clock;
 use crate::exchange::Exchange;
 use crate::fronts::guests::{Guest, Standing, OWED};
-use crate::fronts::{part, Names};
+use crate::fronts::part;
 use crate::http::{call, response, MAX_HEAD};
 use crate::log;
+use crate::names::Names;
 
 /// Connections of operators at a time. Where one more comes, one that has asked nothing yet goes.
 pub const ROOM: usize = 16;
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -21,8 +21,9 @@
 use crate::core::Core;
 use crate::exchange::{self, Exchange};
 use crate::fronts::guests::{Guest, Guests};
+use crate::fronts::jsonrpc;
 use crate::fronts::uwsgi::{self, Front, Ids};
-use crate::fronts::{jsonrpc, Names};
+use crate::names::Names;
 use crate::operators::{self, Office};
 use crate::{clock, handover, log, membership, vrrp};
 
@@ -53,11 +54,10 @@
     let place = handover::place(config.listen);
     let upgrade = handover::serves_already(place.as_deref()).await;
     let (exchange, core, backends) = exchange::new(upgrade);
-    let (changed, links) = watch::channel(config.links);
-    let settings = &config.settings;
+    let (changed, links) = watch::channel(config.links.clone());
     // With a folder that a next process finds it by, both may listen at once.
     let shared = place.is_some();
-    let names = Rc::new(Names::new(settings));
+    let names = Rc::new(Names::new(config.settings.clone()));
     if let Some(ops) = config.ops {
         let listener = bind("ops", ops, false)?;
         log!("operators call at {}", address(&listener));
@@ -76,10 +76,10 @@
     }
     let begun = links.borrow().clone();
     if begun.runs.is_empty() {
-        let classes = settings.classes.clone();
-        spawn_local(Interpreter::new(links.clone(), exchange.clone(), backends.runs, classes).run());
+        let names = names.clone();
+        spawn_local(Interpreter::new(links.clone(), exchange.clone(), backends.runs, names).run());
     } else {
-        let servers = Servers::new(links.clone(), |links| &links.runs, settings);
+        let servers = Servers::new(links.clone(), |links| &links.runs, names.clone());
         spawn_local(client::run(servers, exchange.clone(), backends.runs, each));
     }
     if begun.calls.is_empty() {
@@ -87,17 +87,18 @@
         let index = Index::new(links.clone(), idle);
         spawn_local(call(index, exchange.clone(), backends.calls, each - idle));
     } else {
-        let servers = Servers::new(links.clone(), |links| &links.calls, settings);
+        let servers = Servers::new(links.clone(), |links| &links.calls, names.clone());
         spawn_local(call(servers, exchange.clone(), backends.calls, each));
     }
-    spawn_local(Core::new(core, config.settings, config.seed, config.memory / RESULTS).run());
+    spawn_local(Core::new(core, config.settings.clone(), config.seed, config.memory / RESULTS).run());
     let front = {
         let (exchange, names) = (exchange.clone(), names.clone());
         move |stream, guest| jsonrpc::serve(stream, guest, exchange.clone(), names.clone())
     };
+    let second_names = names.clone();
     let second_front = uwsgi.as_ref().map(|uwsgi| {
         let ids = Ids::new(config.seed ^ u64::from(clock::now().subsec_nanos()));
-        let front = Rc::new(Front { exchange: exchange.clone(), names, ids });
+        let front = Rc::new(Front { exchange: exchange.clone(), names: second_names, ids });
         let serve = move |stream, guest| uwsgi::serve(stream, guest, front.clone());
         (uwsgi.listen, uwsgi.vrrp.is_some(), serve)
     });
@@ -138,7 +139,7 @@
     };
     tokio::select! {
         () = draining => {}
-        () = reloads(files, hangup, changed, &exchange) => {}
+        () = reloads(files, hangup, &config, changed, &names, &exchange) => {}
         failed = serving => return failed.map(|never| match never {}),
     }
     log!("{} has drained", config.name);
@@ -167,27 +168,52 @@
     }
 }
 
-/// Reads the files again at each hang-up. A bad file changes nothing; of a good one the links are taken over.
-async fn reloads(files: &Files, mut hangup: Signal, links: watch::Sender<Links>, exchange: &Exchange) {
+/// Reads the files again at each hang-up. A bad file changes nothing; of a good one the links and the settings
+/// are taken over.
+async fn reloads(
+    files: &Files,
+    mut hangup: Signal,
+    begun: &Config,
+    links: watch::Sender<Links>,
+    names: &Names,
+    exchange: &Exchange,
+) {
+    let mut newest = None;
     while hangup.recv().await.is_some() {
-        let new = match files.read() {
-            Ok((config, _)) => config.links,
+        let before = newest.as_ref().unwrap_or(begun);
+        let taken = files.read().map_err(|e| e.to_string()).and_then(|(new, _)| {
+            if let Some(key) = new.links.unlike(&before.links) {
+                return Err(format!(
+                    "{key}: what does this job, or that anything does, changes with a restart only"
+                ));
+            }
+            if let Some(key) = new.lacks(before) {
+                return Err(format!("{key}: missing, the configuration before had it"));
+            }
+            let settings = names.settings().followed_by(new.settings.clone()).map_err(|e| e.to_string())?;
+            Ok((new, settings))
+        });
+        exchange.figures().reloaded(taken.is_ok());
+        let (new, settings) = match taken {
+            Ok(taken) => taken,
             Err(e) => {
-                exchange.figures().reloaded(false);
                 log!("not reloaded: {e}");
                 continue;
             }
         };
-        if let Some(key) = new.unlike(&links.borrow()) {
-            exchange.figures().reloaded(false);
-            log!(
-                "not reloaded: {key}: what does this job, or that anything does, changes with a restart only"
-            );
-            continue;
+        let moved = links.send_if_modified(|links| std::mem::replace(links, new.links.clone()) != new.links);
+        let retuned = settings != names.settings();
+        if retuned {
+            // The decisions know a class before any front does.
+            exchange.retune(settings.clone()).await;
+            names.follow(settings, clock::now());
         }
-        exchange.figures().reloaded(true);
-        let changed = links.send_if_modified(|links| std::mem::replace(links, new.clone()) != new);
-        log!("reloaded{}", if changed { ": links go to new addresses" } else { ", nothing has changed" });
+        newest = Some(new);
+        let links = if moved { "links go to new addresses" } else { "the links are the same" };
+        log!(
+            "reloaded: {links}, {}",
+            if retuned { "other settings hold" } else { "and so are the settings" }
+        );
     }
     std::future::pending().await
 }
--- a/node/tests/sockets/helper.rs
+++ b/node/tests/sockets/helper.rs
@@ -311,18 +311,21 @@
 
     /// The same, with more lines in the same write.
     pub fn request_and(&mut self, id: u32, txn: &str, key: Option<&str>, limit_ms: u32, more: &str) {
-        let (method, unique) = match key {
-            Some(key) => ("book", format!(r#""unique":"{key}","#)),
-            None => ("quote", String::new()),
-        };
-        let door = now_ms();
-        self.say(format!(
-            r#"{{"jsonrpc":"2.0","id":{id},"method":"{method}","params":{{"txn":"{txn}","door":{door},"lb":1,"team":"acme","limit":{limit_ms},"cpu":1.5,"ram":24.5,"standing":0.5,{unique}"content":"Ym9keQ=="}}}}
-{more}"#
-        ));
+        let class = if key.is_some() { "book" } else { "quote" };
+        self.say(request(id, txn, class, key, limit_ms) + more);
     }
 }
 
+/// A request of any class, as a front end writes it.
+pub fn request(id: u32, txn: &str, class: &str, key: Option<&str>, limit_ms: u32) -> String {
+    let unique = key.map_or(String::new(), |key| format!(r#""unique":"{key}","#));
+    let door = now_ms();
+    format!(
+        r#"{{"jsonrpc":"2.0","id":{id},"method":"{class}","params":{{"txn":"{txn}","door":{door},"lb":1,"team":"acme","limit":{limit_ms},"cpu":1.5,"ram":24.5,"standing":0.5,{unique}"content":"Ym9keQ=="}}}}
+"#
+    )
+}
+
 /// A uwsgi file with nothing but the front.
 pub const UWSGI: &str = "listen = '127.0.0.1:0'\n";
 
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -5,6 +5,7 @@
 mod jsonrpc;
 mod links;
 mod operators;
+mod reload;
 mod upgrade;
 mod uwsgi;
 mod vrrp;
--- /dev/null
+++ b/node/tests/sockets/reload.rs
@@ -0,0 +1,70 @@
+//! What SIGHUP changes and what it leaves alone.
+
+use crate::helper::*;
+
+/// `book` and `quote` go, others come in their places.
+fn retuned(text: &str) -> String {
+    text.replace("\"book\"", "\"reserve\"").replace("\"quote\"", "\"price\"")
+}
+
+#[test]
+fn classes_come_and_go_and_open_requests_keep_theirs_and_their_keys() {
+    let vm = Server::new();
+    let text = config(&format!(r#""vm": "{}", "ops": "127.0.0.1:0","#, vm.address));
+    let mut node = Node::start(&text, Some(UWSGI));
+    let (ops, uwsgi) = (node.ops(), node.uwsgi());
+    let mut link = vm.interpreter("0");
+    let mut client = node.client();
+    client.request(1, "a1", Some("k"), LONG);
+    link.apply();
+    node.reload(&retuned(&text));
+    assert!(node.logs("reloaded").contains("other settings hold"));
+    // Another try of the request, under the new name of its class: it joins the run, on both fronts.
+    client.say(request(2, "b1", "reserve", Some("k"), LONG));
+    let mut old = Peer::connect(uwsgi);
+    old.say(packet(&[("PATH_INFO", "/reserve"), ("HTTP_IDEMPOTENCY_KEY", "k")], "body"));
+    client.say(request(3, "c1", "price", None, LONG));
+    assert_eq!(link.apply(), ("c1".into(), "price".into(), "body".into()));
+    // An open request keeps the class that it had, on a link made anew as well.
+    drop(link);
+    let mut link = vm.interpreter("0");
+    assert_eq!((link.apply().1, link.apply().1), ("book".into(), "price".into()));
+    link.value(1, "a1", "done", "x");
+    let results = [client.line(), client.line()];
+    assert!(results.iter().all(|line| line.contains("\"result\"")), "{results:?}");
+    assert!(old.rest().ends_with("\r\n\r\nx"));
+    let stats = call(ops, "GET /ops/stats");
+    for line in ["answered{group=\"book\"} 1", "answered{group=\"reserve\"} 2", "sends{group=\"price\"} 1"] {
+        assert!(stats.contains(line), "{line} in {stats}");
+    }
+}
+
+#[test]
+fn a_file_that_is_not_whole_changes_nothing_and_is_counted() {
+    let (mut node, vm, _link) = Node::with_interpreter(r#""ops": "127.0.0.1:0","#, None);
+    let ops = node.ops();
+    let text = config(&format!(r#""vm": "{}", "ops": "127.0.0.1:0","#, vm.address));
+    // No more than the log shows in a second.
+    let bad = [
+        (String::new(), "EOF"),
+        (text[..text.len() / 2].into(), "EOF"),
+        (text.replace("120000000, \"effect\": \"rep", "0, \"effect\": \"rep"), "services[0].deadline"),
+        // These have defaults at a start, but the file before had them.
+        (text.replace(r#""idle": 30000000, "#, ""), "settings.specifics.idle"),
+        (text.replace(r#""name": "quote", "#, ""), "settings.services.0.name"),
+    ];
+    for (file, key) in &bad {
+        assert_ne!(*file, text);
+        node.reload(&retuned(file));
+        let line = node.logs("not reloaded");
+        assert!(line.contains(key), "{line} names {key}");
+    }
+    let mut client = node.client();
+    client.say(request(1, "a1", "price", None, LONG));
+    assert!(client.line().contains("-32601"));
+    node.reload(&retuned(&text));
+    node.logs("reloaded:");
+    let stats = call(ops, "GET /ops/stats");
+    assert!(stats.contains("svc_conf_loaded 1\n"), "{stats}");
+    assert!(stats.contains(&format!("svc_conf_invalid {}\n", bad.len())), "{stats}");
+}
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -32,6 +32,57 @@
     pub classes: Vec<String>,
     /// The names of the tenants.
     pub tenants: Vec<String>,
+    /// Positions of classes that newer settings left out: open requests still have them.
+    pub retired_classes: Vec<usize>,
+    /// The same of tenants.
+    pub retired_tenants: Vec<usize>,
+}
+
+/// Names that positions are given to in one life of a server. Guards the memory against settings that bring new
+/// names for ever.
+const MOST_NAMES: usize = 1000;
+
+impl Parsed {
+    /// These settings in the place of `self`: classes and tenants with a known name keep its position, those left
+    /// out keep theirs and are retired, and new ones come after them.
+    pub fn followed_by(&self, mut new: Parsed) -> Result<Parsed, BadSettings> {
+        let values = std::mem::take(&mut new.settings.classes);
+        (new.classes, new.settings.classes, new.retired_classes) =
+            merge("services", (&self.classes, &self.settings.classes), new.classes, values)?;
+        let quotas = std::mem::take(&mut new.settings.tenant_quotas);
+        (new.tenants, new.settings.tenant_quotas, new.retired_tenants) =
+            merge("tenants", (&self.tenants, &self.settings.tenant_quotas), new.tenants, quotas)?;
+        Ok(new)
+    }
+}
+
+/// Names and values by position, and the positions that are retired.
+type Merged<T> = (Vec<String>, Vec<T>, Vec<usize>);
+
+fn merge<T: Clone>(
+    key: &str,
+    (names, values): (&[String], &[T]),
+    new_names: Vec<String>,
+    new_values: Vec<T>,
+) -> Result<Merged<T>, BadSettings> {
+    let (mut names, mut values) = (names.to_vec(), values.to_vec());
+    let mut retired: Vec<usize> = (0..names.len()).collect();
+    for (name, value) in new_names.into_iter().zip(new_values) {
+        match names.iter().position(|known| *known == name) {
+            Some(position) => {
+                values[position] = value;
+                retired.retain(|gone| *gone != position);
+            }
+            None => {
+                names.push(name);
+                values.push(value);
+            }
+        }
+    }
+    if names.len() > MOST_NAMES {
+        return Err(BadSettings(format!("{key}: over {MOST_NAMES} names since the start")));
+    }
+    Ok((names, values, retired))
 }
 
 #[derive(Deserialize)]
@@ -186,6 +237,8 @@
         gauges: params.specifics.gauges,
         classes: params.services.into_iter().map(|s| s.name).collect(),
         tenants: params.tenants.into_iter().map(|t| t.name).collect(),
+        retired_classes: Vec::new(),
+        retired_tenants: Vec::new(),
     })
 }
 
@@ -286,6 +339,24 @@
         assert!(parse("{").is_err());
     }
 
+    #[test]
+    fn what_has_a_position_keeps_it() {
+        let named = |names: [&str; 2]| {
+            let mut parsed = parse(SMALL).unwrap();
+            parsed.classes = names.map(String::from).to_vec();
+            parsed.settings.classes = vec![parsed.settings.classes[0].clone(); 2];
+            parsed.settings.classes[1].worth = 7.0;
+            parsed
+        };
+        let followed = named(["a", "b"]).followed_by(named(["c", "a"])).unwrap();
+        assert_eq!(followed.classes, ["a", "b", "c"]);
+        assert_eq!(followed.retired_classes, [1]);
+        let worths: Vec<f64> = followed.settings.classes.iter().map(|class| class.worth).collect();
+        assert_eq!(worths, [7.0, 7.0, 1.0]);
+        let back = followed.followed_by(named(["b", "x"])).unwrap();
+        assert_eq!((back.classes.len(), back.retired_classes), (4, vec![0, 2]));
+    }
+
     #[test]
     fn gauges_go_by_name() {
         let names = ["mem_used", "runnable", "cpu_busy"].map(String::from);
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -308,6 +308,24 @@
         }
     }
 
+    /// New settings hold from now on; what was learnt, what is in hand and the permitted rate stay. Classes and
+    /// tenants keep their positions: new ones come after them, and those left out at the end stay as they were.
+    pub fn retune(&mut self, mut settings: Settings) {
+        let (known, quotas) = (settings.classes.len(), settings.tenant_quotas.len());
+        settings.classes.extend(self.settings.classes.drain(..).skip(known));
+        settings.tenant_quotas.extend(self.settings.tenant_quotas.drain(..).skip(quotas));
+        self.stats.resize(settings.classes.len(), ClassStats::default());
+        self.arrivals.resize(settings.tenant_quotas.len() + 1, 0.0);
+        if settings.dependency != self.settings.dependency {
+            let calls = Calls::new(&settings.dependency, self.now);
+            let (share, span, linger) = (calls.share, calls.span, calls.linger);
+            self.calls = Calls { share, span, linger, limit: share, ..std::mem::take(&mut self.calls) };
+        }
+        // Whether the server was cold at its start, and how it warms, is no matter of tuning.
+        let Settings { cold, cold_share, warm_after, .. } = self.settings;
+        self.settings = Settings { cold, cold_share, warm_after, ..settings };
+    }
+
     /// Takes in what happened at `now` and appends what is to be done, at first the opening actions.
     pub fn handle(&mut self, now: Duration, events: &[Event], out: &mut Vec<Action>) {
         self.now = self.now.max(now.as_secs_f64());
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -602,3 +602,22 @@
         tell(&mut admission, 60, &[Event::Finished { id, outcome: Outcome::Refused, took }]);
     }
 }
+
+#[test]
+fn new_settings_keep_what_is_in_hand_and_bring_classes() {
+    let mut admission = opened(Settings { cores: 1, ..keyed() });
+    tell(&mut admission, 0, &[arrived(1), arrived(2)]);
+    let second = |id| Event::Arrived(Arrival::new(RequestId(id), ClassId(1)));
+    let unknown = tell(&mut admission, 1, &[second(3)]);
+    assert!(unknown.iter().any(|a| matches!(a, Action::Refuse { id: RequestId(3), .. })));
+    let classes = vec![keyed().classes[0].clone(), Class::default()];
+    admission.retune(Settings { classes, cores: 2, ..keyed() });
+    // A list that is shorter takes no position away from what is in hand.
+    admission.retune(Settings { classes: keyed().classes, cores: 2, ..keyed() });
+    let actions = tell(&mut admission, 5, &[repeat(4, 1), second(5)]);
+    assert!(actions.contains(&Action::Join(RequestId(4))), "the key of 1 is still known");
+    let done = |id| Event::Finished { id: RequestId(id), outcome: Outcome::Ok, took: ms(15) };
+    let mut runs = actions;
+    runs.extend((1..=2).flat_map(|id| tell(&mut admission, 20 * u64::from(id), &[done(id)])));
+    assert_eq!([2, 5].map(|id| runs.iter().filter(|a| is_run(a, id)).count()), [1, 1]);
+}
