Let remembered keys take none of the interpreter's memory in the decisions

The protocol books requests alone there: keys sit in the node's own memory. So core.rs gives the decisions an entry of no size, and the table of keys has a bound of its own, an eighth of `limits.memory_mb` at 512 bytes a key; a key beyond it is refused before it is decided on.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use swiftwinch::{
     Action, Admission, Arrival, CallerId, ClassId, Effect, Event, Gauges, Outcome as Ended, RequestId,
-    TenantId, TimerId,
+    Settings, TenantId, TimerId,
 };
 use swiftwinch_settings::Parsed;
 use tokio::sync::mpsc;
@@ -46,6 +46,13 @@
     told: bool,
 }
 
+/// The settings that decisions are made by. The memory in them is the interpreter's, where requests are booked; keys
+/// are remembered in this process, whose table of them has a bound of its own. Guards writes against being refused
+/// for memory that is free.
+fn decided_by(settings: &Parsed) -> Settings {
+    Settings { entry_kb: 0.0, ..settings.settings.clone() }
+}
+
 /// One try of a request, from its reading until it is answered and nothing of it runs.
 struct Try {
     id: RequestId,
@@ -227,7 +234,7 @@
                 self.decide(clock::now());
                 self.settings = *settings;
                 if let Some(admission) = &mut self.admission {
-                    admission.retune(self.settings.settings.clone());
+                    admission.retune(decided_by(&self.settings));
                 }
             }
             Input::HandOver(tell) => {
@@ -262,8 +269,7 @@
     /// The decisions begin when something can run requests: only then is it known whether that is cold.
     fn start(&mut self, cold: bool) {
         if self.admission.is_none() {
-            let mut settings = self.settings.settings.clone();
-            settings.cold = cold;
+            let settings = Settings { cold, ..decided_by(&self.settings) };
             self.admission = Some(Admission::new(settings, self.seed, clock::now()));
             if let Some((stop, _)) = self.ends.state.borrow().draining {
                 self.events.push(Event::Drain(stop.saturating_sub(clock::now())));
@@ -289,6 +295,10 @@
         if key.as_ref().is_some_and(|key| self.heir_told() && !self.keys.knows(key)) {
             return ticket.answer(self.not_now());
         }
+        if key.as_ref().is_some_and(|key| self.keys.full() && !self.keys.knows(key)) {
+            log!("no room to remember one more key");
+            return ticket.answer(self.not_now());
+        }
         // Guards against two tries of one key in one batch: the second is linked to what became of the first.
         if key.as_ref().is_some_and(|key| self.keys.in_batch(key)) {
             return self.deferred.push_back(Input::Submitted(request, claim, ticket));
--- a/node/src/core/keys.rs
+++ b/node/src/core/keys.rs
@@ -18,6 +18,11 @@
 /// machine in its time are still linked to it.
 const READ_LATE: Duration = Duration::from_secs(8);
 
+/// Memory that a remembered key takes, by a generous estimate, beside its result.
+const ENTRY_BYTES: usize = 512;
+/// So many keys may be remembered in any process.
+const FEWEST: usize = 1000;
+
 /// What is kept of a run that is over.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Kept {
@@ -97,7 +102,7 @@
 }
 
 impl Keys {
-    /// An empty table whose results take so many bytes at the most.
+    /// An empty table whose results take so many bytes at the most, and whose keys about as many.
     pub fn new(most_bytes: usize) -> Self {
         Keys { seed: RandomState::new().hash_one(()), most_bytes, ..Keys::default() }
     }
@@ -225,6 +230,12 @@
         self.bytes -= entry.map_or(0, |entry| entry.bytes());
     }
 
+    /// Whether there is no room for one more key. Guards the memory of the process: a key can't be forgotten before
+    /// its time.
+    pub fn full(&self) -> bool {
+        self.entries.len() >= (self.most_bytes / ENTRY_BYTES).max(FEWEST)
+    }
+
     /// Whether anything is remembered of this key.
     pub fn knows(&self, key: &Key) -> bool {
         self.entries.contains_key(key)
@@ -349,6 +360,18 @@
         assert_eq!(keys.join(&key(), B), Some(kept));
     }
 
+    #[test]
+    fn the_table_is_full_at_its_bound_and_has_room_again_when_keys_run_out() {
+        let mut keys = Keys::new(0);
+        for n in 0..u32::try_from(FEWEST).unwrap() {
+            assert!(!keys.full());
+            keys.remember(n.to_be_bytes().to_vec().into(), b"x", RequestId(n), at(117));
+        }
+        assert!(keys.full());
+        keys.sweep(at(126));
+        assert!(!keys.full());
+    }
+
     #[test]
     fn a_run_that_never_began_frees_its_key() {
         let mut keys = keys();
--- a/node/tests/sockets/jsonrpc.rs
+++ b/node/tests/sockets/jsonrpc.rs
@@ -227,3 +227,16 @@
     vm.value(1, "a1", "done", "x");
     assert!(client.line().contains("\"id\":1,\"result\""));
 }
+
+#[test]
+fn remembered_keys_take_none_of_the_interpreters_memory() {
+    let vm = Server::new();
+    // By the settings there is no room for a second key.
+    let text = config(&format!(r#""vm": "{}","#, vm.address));
+    let node = Node::start(&text.replace("\"entryKb\": 1.0", "\"entryKb\": 60000.0"), None);
+    let (mut link, mut client) = (vm.interpreter("0"), node.client());
+    for (id, txn) in [(1, "a1"), (2, "a2"), (3, "a3")] {
+        client.request(id, txn, Some(txn), LONG);
+        assert_eq!(link.apply().0, txn);
+    }
+}
