Share the room for connections between two processes, and read the files again after an upgrade

A hang-up that only the old process hears is no longer lost on the new one, which reads its files again when the other has ended.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -253,6 +253,7 @@
                     self.join_ended(joiner, &Kept::Failed, clock::now());
                 }
                 self.inherited();
+                self.update(|state| state.succeeds = false);
             }
             Input::Away(away) => self.update(|state| state.away = away),
             Input::Report(Report::Up { cold }) => self.start(cold),
--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -267,6 +267,8 @@
     pub handed: bool,
     /// What the process before knew is still to come.
     pub inheriting: bool,
+    /// The process before is still there.
+    pub succeeds: bool,
     /// Requests that arrive are still read.
     pub open: bool,
     /// After the notice to leave: all requests in hand have their answers.
@@ -285,6 +287,11 @@
         self.good.is_some() && !self.inheriting && !self.handed && self.draining.is_none()
     }
 
+    /// Whether two processes are this node now.
+    pub fn shares(&self) -> bool {
+        self.handed || self.succeeds
+    }
+
     /// Whether new connections are taken.
     pub fn takes_clients(&self) -> bool {
         self.open && !self.handed
@@ -335,6 +342,7 @@
         draining: None,
         handed: false,
         inheriting,
+        succeeds: inheriting,
         open: true,
         answered: false,
     };
--- a/node/src/fronts/guests.rs
+++ b/node/src/fronts/guests.rs
@@ -35,6 +35,8 @@
 /// The connections of one front.
 pub struct Guests {
     room: usize,
+    /// Another process of this node has half of the room.
+    shared: Cell<bool>,
     seats: RefCell<HashMap<u64, Seat>>,
     next: Cell<u64>,
     gone: Notify,
@@ -51,20 +53,17 @@
     /// Room for so many connections.
     pub fn new(room: usize) -> Rc<Self> {
         let seats = RefCell::default();
-        Rc::new(Guests { room, seats, next: Cell::new(0), gone: Notify::new() })
+        Rc::new(Guests { room, shared: Cell::new(false), seats, next: Cell::new(0), gone: Notify::new() })
     }
 
     /// Seats one more connection. Where there is no room, a stranger or else the one idle for longest goes for
     /// it; nothing where all are busy. Guards front ends against being shut out by those who hold connections
     /// and ask nothing.
     pub fn seat(self: &Rc<Self>) -> Option<Guest> {
-        let mut seats = self.seats.borrow_mut();
-        if seats.values().filter(|seat| !seat.leaving).count() >= self.room {
-            let idle = seats.values_mut().filter(|seat| !seat.leaving && seat.standing < Standing::Busy);
-            let goes = idle.min_by_key(|seat| (seat.standing, seat.since))?;
-            goes.leaving = true;
-            goes.leave.notify_one();
+        if self.taken() >= self.room() && !self.one_leaves() {
+            return None;
         }
+        let mut seats = self.seats.borrow_mut();
         let (number, leave) = (self.next.get(), Rc::new(Notify::new()));
         self.next.set(number + 1);
         let (standing, since) = (Standing::Stranger, clock::now());
@@ -72,6 +71,35 @@
         Some(Guest { guests: self.clone(), number, leave })
     }
 
+    /// Shares the room with another process of this node, or has it alone. Guards the descriptors, which are
+    /// counted over both.
+    pub fn share(&self, shared: bool) {
+        self.shared.set(shared);
+        while self.taken() > self.room() && self.one_leaves() {}
+    }
+
+    fn room(&self) -> usize {
+        if self.shared.get() {
+            self.room / 2
+        } else {
+            self.room
+        }
+    }
+
+    fn taken(&self) -> usize {
+        self.seats.borrow().values().filter(|seat| !seat.leaving).count()
+    }
+
+    /// Asks a stranger, or else the one idle for longest, to leave; false where all are busy.
+    fn one_leaves(&self) -> bool {
+        let mut seats = self.seats.borrow_mut();
+        let idle = seats.values_mut().filter(|seat| !seat.leaving && seat.standing < Standing::Busy);
+        let Some(goes) = idle.min_by_key(|seat| (seat.standing, seat.since)) else { return false };
+        goes.leaving = true;
+        goes.leave.notify_one();
+        true
+    }
+
     /// Waits until no connection is left.
     pub async fn all_gone(&self) {
         while !self.seats.borrow().is_empty() {
@@ -114,6 +142,27 @@
         guest.asked_to_leave().now_or_never().is_some()
     }
 
+    #[test]
+    fn two_processes_of_a_node_have_half_of_the_room_each() {
+        let guests = Guests::new(4);
+        let seats: Vec<Guest> = (0..4).map(|_| guests.seat().unwrap()).collect();
+        seats[..3].iter().for_each(|seat| seat.is(Standing::Busy));
+        guests.share(true);
+        assert_eq!(
+            seats.iter().map(asked).collect::<Vec<_>>(),
+            [false, false, false, true],
+            "the busy ones stay"
+        );
+        drop(seats);
+        let seats = [guests.seat().unwrap(), guests.seat().unwrap()];
+        seats[1].is(Standing::Busy);
+        let _third = guests.seat().unwrap();
+        assert_eq!(seats.each_ref().map(asked), [true, false]);
+        guests.share(false);
+        let all = [guests.seat().unwrap(), guests.seat().unwrap()];
+        assert!(!all.iter().any(asked) && !asked(&seats[1]));
+    }
+
     #[test]
     fn strangers_go_before_idle_ones_and_busy_ones_stay() {
         let guests = Guests::new(3);
--- a/node/src/fronts/jsonrpc.rs
+++ b/node/src/fronts/jsonrpc.rs
@@ -303,7 +303,10 @@
             if id != NO_ANSWER {
                 self.put_error(&id, code, message, "");
             }
-            self.unserved += 1;
+            // A client that is known may ask for what a reload is still to bring, and is owed all its answers.
+            if !self.known || !matches!(code, METHOD_NOT_FOUND | INVALID_PARAMS) {
+                self.unserved += 1;
+            }
             if self.unserved >= PATIENCE {
                 self.end_with("too many messages that can't be served");
                 break;
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -130,6 +130,18 @@
         }
         std::future::pending::<Result<Infallible, String>>().await
     };
+    let sharing = async {
+        let mut state = exchange.state();
+        loop {
+            let shares = state.borrow_and_update().shares();
+            for guests in [&platform, &second] {
+                guests.share(shares);
+            }
+            if state.wait_for(|state| state.shares() != shares).await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    };
     let draining = async {
         notice.await;
         let stop = clock::now() + config.stop;
@@ -140,6 +152,7 @@
     tokio::select! {
         () = draining => {}
         () = reloads(files, hangup, &config, changed, &names, &exchange) => {}
+        () = sharing => {}
         failed = serving => return failed.map(|never| match never {}),
     }
     log!("{} has drained", config.name);
@@ -179,7 +192,20 @@
     exchange: &Exchange,
 ) {
     let mut newest = None;
-    while hangup.recv().await.is_some() {
+    let mut state = exchange.state();
+    let mut succeeds = state.borrow().succeeds;
+    loop {
+        let told = tokio::select! {
+            heard = hangup.recv() => match heard {
+                Some(()) => true,
+                None => std::future::pending().await,
+            },
+            // Guards against a hang-up that only the process before heard: the files are looked at again.
+            _ = state.wait_for(|state| !state.succeeds), if succeeds => {
+                succeeds = false;
+                false
+            }
+        };
         let before = newest.as_ref().unwrap_or(begun);
         let taken = files.read().map_err(|e| e.to_string()).and_then(|(new, _)| {
             if let Some(key) = new.links.unlike(&before.links) {
@@ -193,7 +219,9 @@
             let settings = names.settings().followed_by(new.settings.clone()).map_err(|e| e.to_string())?;
             Ok((new, settings))
         });
-        exchange.figures().reloaded(taken.is_ok());
+        if told {
+            exchange.figures().reloaded(taken.is_ok());
+        }
         let (new, settings) = match taken {
             Ok(taken) => taken,
             Err(e) => {
@@ -209,13 +237,15 @@
             names.follow(settings, clock::now());
         }
         newest = Some(new);
+        if !told && !moved && !retuned {
+            continue;
+        }
         let links = if moved { "links go to new addresses" } else { "the links are the same" };
         log!(
             "reloaded: {links}, {}",
             if retuned { "other settings hold" } else { "and so are the settings" }
         );
     }
-    std::future::pending().await
 }
 
 /// Opens a listener; `shared` if a next process may open it too while this one serves.
--- a/node/tests/sockets/helper.rs
+++ b/node/tests/sockets/helper.rs
@@ -149,10 +149,15 @@
 
     /// Puts another text in the place of its configuration and tells it to read that.
     pub fn reload(&self, config: &str) {
-        std::fs::write(&self.files[0], config).unwrap();
+        self.replace(config);
         self.signal("-HUP");
     }
 
+    /// The same without telling it.
+    pub fn replace(&self, config: &str) {
+        std::fs::write(&self.files[0], config).unwrap();
+    }
+
     /// The same with its uwsgi file.
     pub fn reload_uwsgi(&self, text: &str) {
         std::fs::write(&self.files[1], text).unwrap();
--- a/node/tests/sockets/jsonrpc.rs
+++ b/node/tests/sockets/jsonrpc.rs
@@ -240,3 +240,16 @@
         assert_eq!(link.apply().0, txn);
     }
 }
+
+#[test]
+fn a_known_client_that_asks_for_what_is_not_there_is_answered_however_often() {
+    let (node, _vm, mut link) = Node::with_interpreter("", None);
+    let mut client = node.client();
+    while client.status() != "up" {}
+    for id in 0..40 {
+        client.say(request(id, "a1", "price", None, LONG));
+        assert!(client.line().contains("-32601"));
+    }
+    client.request(40, "a2", None, LONG);
+    assert_eq!(link.apply().0, "a2");
+}
--- a/node/tests/sockets/upgrade.rs
+++ b/node/tests/sockets/upgrade.rs
@@ -21,6 +21,12 @@
 
     /// One more process of the node, with an interpreter of its own whose link is up.
     fn start(&self) -> (Node, Peer) {
+        let (node, link, _) = self.start_by();
+        (node, link)
+    }
+
+    /// The same, with the text of its configuration.
+    fn start_by(&self) -> (Node, Peer, String) {
         let vm = Server::new();
         let config = config(&format!(r#""vm": "{}","#, vm.address)).replace("127.0.0.1:0", &self.json);
         let mut node =
@@ -28,7 +34,7 @@
         let link = vm.interpreter("0");
         node.serves();
         node.uwsgi();
-        (node, link)
+        (node, link, config)
     }
 
     fn uwsgi(&self, key: &str) -> Peer {
@@ -100,3 +106,19 @@
     drop(old);
     assert!(after.line().contains("-32000"), "it may have run");
 }
+
+#[test]
+fn a_file_that_was_replaced_during_an_upgrade_is_taken_by_the_new_process() {
+    let place = Place::new("127.0.3.3");
+    let (old, _old_vm) = place.start();
+    let (mut new, mut new_vm, config) = place.start_by();
+    new.logs("has taken over");
+    // Whoever is told of it has ended before long.
+    new.replace(&config.replace("\"quote\"", "\"price\""));
+    old.terminate();
+    old.ends();
+    new.logs("reloaded: the links are the same, other settings hold");
+    let mut client = new.client();
+    client.say(request(1, "a1", "price", None, LONG));
+    assert_eq!(new_vm.apply().1, "price");
+}
