Take nothing over in a process that is to leave, and name the end of the one before as what it is

Read again: a new process that gets SIGTERM before its interpreter is reached would still have taken over, and then drained with the clients (serve.rs waited for the interpreter alone). A test stops one there; the old process serves on.

--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -53,13 +53,14 @@
         let mut old = UnixStream::connect(place).await?;
         learn(&mut old, &exchange).await
     };
-    // With a whole table this is just the end of the old process.
-    if let Err(e) = ended.await {
-        log!("handover: the link to the process before has ended: {e}");
+    match ended.await {
+        Ok(()) => log!("handover: the process before has ended"),
+        Err(e) => log!("handover: not all is known of the process before: {e}"),
     }
     exchange.inheritance_over().await;
 }
 
+/// Learns what the old process knows, until it ends.
 async fn learn(old: &mut UnixStream, exchange: &Exchange) -> io::Result<()> {
     old.write_all(b"TAKE\r\n").await?;
     let (mut input, mut estate, mut whole) = (BytesMut::new(), Estate::default(), false);
@@ -78,7 +79,11 @@
             exchange.inherit(Estate { seed: estate.seed, keys }).await;
         }
         tokio::select! {
-            read = old.read_buf(&mut input) => if read? == 0 { return Err(io::ErrorKind::UnexpectedEof.into()) },
+            read = old.read_buf(&mut input) => match read? {
+                0 if whole => return Ok(()),
+                0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+                _ => {}
+            },
             () = clock::until(owed), if !whole => return Err(lines::stalled()),
         }
     }
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -104,9 +104,12 @@
     });
     let serving = async {
         if upgrade {
-            // Nothing comes here before it can be served.
-            let up = exchange.state().wait_for(|state| state.good.is_some()).await.is_ok();
-            log!("handover: {}", if up { "takes over" } else { "nothing to take over with" });
+            // Nothing comes here before it can be served. One that is to leave before that takes nothing over.
+            let mut state = exchange.state();
+            let up = state.wait_for(|state| state.good.is_some() && state.draining.is_none()).await.is_ok();
+            if up {
+                log!("handover: takes over");
+            }
         }
         let listener = bind("listen", config.listen, shared)?;
         let always = watch::channel(true).1;
@@ -123,25 +126,14 @@
         if let Some(place) = &place {
             if upgrade {
                 spawn_local(handover::inherit(place.clone(), exchange.clone()));
-                let known = exchange.state().wait_for(|state| !state.inheriting).await.is_ok();
-                log!("handover: {}", if known { "has taken over" } else { "nothing is known" });
+                if exchange.state().wait_for(|state| !state.inheriting).await.is_ok() {
+                    log!("handover: has taken over");
+                }
             }
             handover::bequeath(place, exchange.clone()).await;
         }
         std::future::pending::<Result<Infallible, String>>().await
     };
-    let sharing = async {
-        let mut state = exchange.state();
-        loop {
-            let shares = state.borrow_and_update().shares();
-            for guests in [&platform, &second] {
-                guests.share(shares);
-            }
-            if state.wait_for(|state| state.shares() != shares).await.is_err() {
-                std::future::pending::<()>().await;
-            }
-        }
-    };
     let draining = async {
         notice.await;
         let stop = clock::now() + config.stop;
@@ -152,7 +144,7 @@
     tokio::select! {
         () = draining => {}
         () = reloads(files, hangup, &config, changed, &names, &exchange) => {}
-        () = sharing => {}
+        () = share(&exchange, [&platform, &second]) => {}
         failed = serving => return failed.map(|never| match never {}),
     }
     log!("{} has drained", config.name);
@@ -181,6 +173,18 @@
     }
 }
 
+/// Leaves half of the fronts' room to the other process, while there is one.
+async fn share(exchange: &Exchange, fronts: [&Guests; 2]) {
+    let mut state = exchange.state();
+    loop {
+        let shares = state.borrow_and_update().shares();
+        fronts.iter().for_each(|guests| guests.share(shares));
+        if state.wait_for(|state| state.shares() != shares).await.is_err() {
+            std::future::pending::<()>().await;
+        }
+    }
+}
+
 /// Reads the files again at each hang-up. A bad file changes nothing; of a good one the links and the settings
 /// are taken over.
 async fn reloads(
--- a/node/tests/sockets/upgrade.rs
+++ b/node/tests/sockets/upgrade.rs
@@ -122,3 +122,21 @@
     client.say(request(1, "a1", "price", None, LONG));
     assert_eq!(new_vm.apply().1, "price");
 }
+
+#[test]
+fn a_new_process_that_is_stopped_before_it_can_serve_takes_nothing() {
+    let place = Place::new("127.0.3.4");
+    let (old, mut old_vm) = place.start();
+    let vm = Server::new();
+    let text = config(&format!(r#""vm": "{}","#, vm.address)).replace("127.0.0.1:0", &place.json);
+    let new = Node::spawn(&text, None, Some(&place.folder));
+    let mut link = vm.accept();
+    link.line();
+    new.terminate();
+    new.ends();
+    let mut client = old.client();
+    client.request(1, "a1", Some("k"), LONG);
+    old_vm.apply();
+    old_vm.value(1, "a1", "done", "x");
+    assert!(client.line().contains("\"result\""));
+}
