--- a/src/admission.rs
+++ b/src/admission.rs
@@ -308,8 +308,8 @@
         }
     }
 
-    /// New settings hold from now on; what was learnt, what is in hand and the permitted rate stay. Classes and
-    /// tenants keep their positions: new ones come after them, and those left out at the end stay as they were.
+    /// New settings hold from now on; what was learnt, what is in hand and the permitted rate stay. Classes
+    /// and tenants keep their positions: new ones come after them, and those left out at the end stay.
     pub fn retune(&mut self, mut settings: Settings) {
         let (known, quotas) = (settings.classes.len(), settings.tenant_quotas.len());
         settings.classes.extend(self.settings.classes.drain(..).skip(known));
