--- a/node/tests/sockets/upgrade.rs
+++ b/node/tests/sockets/upgrade.rs
@@ -13,10 +13,12 @@
 
 impl Place {
     fn new(host: &str) -> Place {
-        let free = || TcpListener::bind((host, 0)).unwrap().local_addr().unwrap().to_string();
+        // Both are held until both are known, so they differ.
+        let free = [(); 2].map(|()| TcpListener::bind((host, 0)).unwrap());
+        let [json, uwsgi] = free.each_ref().map(|held| held.local_addr().unwrap().to_string());
         let folder = file("folder", "").with_extension("d");
         std::fs::create_dir(&folder).unwrap();
-        Place { json: free(), uwsgi: free(), folder }
+        Place { json, uwsgi, folder }
     }
 
     /// One more process of the node, with an interpreter of its own whose link is up.
