--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -560,7 +560,12 @@
                     self.with_txn(id, |core, txn| core.command_run(RunCommand::Skip(txn)));
                 }
             }
-            Action::SetHealth { good, .. } => self.update(|state| state.good = Some(good)),
+            Action::SetHealth { good, .. } => {
+                if self.ends.state.borrow().good != Some(good) {
+                    log!("health is {}", if good { "good" } else { "bad" });
+                }
+                self.update(|state| state.good = Some(good));
+            }
             Action::IdleLimit(limit) => self.update(|state| state.idle = Some(limit)),
             Action::SetTimer(timer, after) => self.timers.push(Reverse((now + after, timer))),
             // Neither wire has a place for a free value, and the settings forbid it where there is none.
