Count what waits to be written from when it began to wait, so no late answer is lost

Cause: a connection is ended when nothing could be written on it for 5 s (UNREAD). That time was counted from the last look at the connection with nothing to write, and with one open request nobody looks until its answer comes. So an answer that came 5 s after the last look was dropped with its connection at once, unwritten; so was an idle connection 5 s after its last use, in place of the word that it is to end. Both are harmless on small fleets with busy connections. Among 300 nodes nearly every connection carries one request, and deadlines pass 5 s.

At fault: `wrote` in node/src/fronts/jsonrpc.rs, set in talk() before it waits. Now `waits` is set when there is first something to write, and unset by each write. uwsgi's front counts from the write itself and needs no change; the links have no such limit. The new test fails without the change.

--- a/node/src/fronts/jsonrpc.rs
+++ b/node/src/fronts/jsonrpc.rs
@@ -124,8 +124,8 @@
     owed: Option<Unix>,
     /// Messages of late, in a row, that could not be served.
     unserved: u32,
-    /// When something was last written, or began to wait for that.
-    wrote: Unix,
+    /// Since when what is to be written has waited, and nothing of it was.
+    waits: Option<Unix>,
     /// Close once everything is answered and written.
     closing: bool,
 }
@@ -151,7 +151,7 @@
         known: false,
         owed: Some(now + OWED),
         unserved: 0,
-        wrote: now,
+        waits: None,
         closing: false,
     };
     // Whatever ended the connection, nobody waits any more for what is still open on it.
@@ -193,8 +193,8 @@
                 (true, false) => Standing::Stranger,
             });
             if self.output.is_empty() {
-                self.wrote = clock::now();
-            } else if clock::now() >= self.wrote + UNREAD {
+                self.waits = None;
+            } else if clock::now() >= *self.waits.get_or_insert_with(clock::now) + UNREAD {
                 return Err(io::ErrorKind::TimedOut.into());
             }
             let wake = self.next_look();
@@ -206,7 +206,7 @@
                     if written? == 0 {
                         return Err(io::ErrorKind::WriteZero.into());
                     }
-                    self.wrote = clock::now();
+                    self.waits = None;
                 }
                 Some((tag, outcome)) = outcomes.recv() => {
                     self.answer(tag, outcome);
@@ -235,7 +235,7 @@
 
     /// When there may be something to do though nothing happens.
     fn next_look(&self) -> Unix {
-        let unread = (!self.output.is_empty()).then_some(self.wrote + UNREAD);
+        let unread = self.waits.map(|since| since + UNREAD);
         [Some(self.idle_until()), self.owed, unread].into_iter().flatten().min().unwrap_or_default()
     }
 
--- a/node/tests/sockets/jsonrpc.rs
+++ b/node/tests/sockets/jsonrpc.rs
@@ -16,6 +16,18 @@
     insta::assert_snapshot!(client.line(), @r#"{"jsonrpc":"2.0","id":8,"error":{"code":-32000,"message":"failed"}}"#);
 }
 
+#[test]
+fn an_answer_that_took_long_to_come_is_written_whole() {
+    let (node, _vm, mut vm) = Node::with_interpreter("", None);
+    let mut client = node.client();
+    client.request(1, "a1", Some("k"), LONG);
+    vm.apply();
+    // Longer than a client may leave what was written unread: that time begins with the answer.
+    std::thread::sleep(std::time::Duration::from_millis(5_200));
+    vm.value(1, "a1", "done", "job 5");
+    insta::assert_snapshot!(client.line(), @r#"{"jsonrpc":"2.0","id":1,"result":{"content":"am9iIDU="}}"#);
+}
+
 #[test]
 fn bad_lines_get_the_standard_errors_and_the_connection_stays() {
     let (mut node, _vm, _link) = Node::with_interpreter("", None);
