Let keys and results outlast the process, in a folder that an operators' file names

Need: a booking may come again within its window at the same node; a node that restarted in between forgot what it had run.

Change: node/src/remembered/ keeps which key began (on the disk before the run begins) and how it ended (there before the answer leaves). ledger.rs and recovery.rs decide without I/O; record.rs is the format; folder.rs does the I/O for one thread that waits for the disk, and records that come meanwhile share the next wait. The core holds a run back until its beginning is kept, and an answer until the end is; what began and has no end has failed and does not run again. Numbers without gaps tell what damage took; such keys are in doubt and get 'failed' until their time is over. In an upgrade the folder goes to the new process, and back if that dies. Bodies are digested in a way that is the same in every build.

--- /dev/null
+++ b/examples/measure.rs
@@ -0,0 +1,218 @@
+//! Measures what it costs to let keys outlast the process: starts the real program with a stand-in interpreter and a
+//! client of its own, and prints a table. Not part of the tests; [`docs/remembered.md`](../docs/remembered.md) keeps a
+//! result.
+//!
+//!     cargo build --release && cargo run --release --example measure -- FOLDER
+//!
+//! FOLDER is made, on the disk that is to be measured, and removed.
+
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+const SETTINGS: &str = r#"{"services": [{"name": "book", "slo": 60000000, "deadline": 120000000, "effect": "by_key",
+    "window": 600000000, "worth": 2.0, "lateWorth": 0.2}],
+  "specifics": {"cores": 64, "memoryKb": 100000000.0, "runFactor": 8.0, "entryKb": 1.0, "dependsOn": "off",
+     "classCalls": [false], "classSkipWorth": [0.0], "idle": 30000000, "passesDeadline": true, "preemption": "pause",
+     "gauges": ["cpu_busy", "runnable", "mem_used", "sockets"]},
+  "safety": {"drainGrace": 200000, "fallMultiple": 8.0}, "limits": {"maxRetryAfter": 1000000, "retryAfter": true},
+  "tenants": [], "servers": 1, "tick": 4000}"#;
+
+/// Requests of one measurement, by how many are open at a time.
+const COUNTS: [(usize, usize); 2] = [(1, 2_000), (32, 20_000)];
+const ENTRIES: [usize; 3] = [1_000, 10_000, 40_000];
+/// A result of the size that front ends take at the most.
+const LARGE: usize = 4 * 1024;
+
+fn main() -> io::Result<()> {
+    let Some(folder) = std::env::args().nth(1).map(PathBuf::from) else {
+        eprintln!("measure FOLDER");
+        std::process::exit(2)
+    };
+    std::fs::create_dir_all(&folder)?;
+    let folder = folder.canonicalize()?;
+    println!(
+        "| keys outlast | open at a time | a second | median ms | 99 of 100 ms | cores' time a request, us |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for (name, batch) in
+        [("off", None), ("on, each waits alone", Some(1)), ("on, waits are shared", Some(1024))]
+    {
+        for (open, count) in COUNTS {
+            let mut node = Node::start(&folder, batch, 0)?;
+            let (cpu, began) = (node.cpu()?, Instant::now());
+            let mut times = node.book(open, count)?.0;
+            let (took, cpu) = (began.elapsed().as_secs_f64(), node.cpu()? - cpu);
+            times.sort();
+            let at = |part: f64| times[(times.len() as f64 * part) as usize].as_secs_f64() * 1e3;
+            let (rate, each) = (count as f64 / took, cpu * 1e6 / count as f64);
+            println!("| {name} | {open} | {rate:.0} | {:.2} | {:.2} | {each:.0} |", at(0.5), at(0.99));
+            node.end(&folder)?;
+        }
+    }
+    println!("\n| keys in the folder | bytes of it | start to listening, ms |\n| --- | --- | --- |");
+    for count in ENTRIES {
+        let mut node = Node::start(&folder, Some(1024), 0)?;
+        node.book(32, count)?;
+        drop(node);
+        let bytes = size(&folder)?;
+        let node = Node::start(&folder, Some(1024), 0)?;
+        println!("| {count} | {bytes} | {:.0} |", node.started.as_secs_f64() * 1e3);
+        node.end(&folder)?;
+    }
+    let mut node = Node::start(&folder, Some(1024), LARGE)?;
+    let begun = node.peak()?;
+    let served = node.book(32, 50_000)?.1;
+    println!("\nAt the bound of memory (192 MB for the process): {served} results of {LARGE} bytes are kept and all more");
+    println!(
+        "is turned away; the process peaked at {} MB, from {} MB at its start.",
+        node.peak()? / 1024,
+        begun / 1024
+    );
+    node.end(&folder)?;
+    std::fs::remove_dir(&folder)
+}
+
+/// Bytes of all files in a folder.
+fn size(folder: &Path) -> io::Result<u64> {
+    std::fs::read_dir(folder)?.map(|entry| Ok(entry?.metadata()?.len())).sum()
+}
+
+/// The program at work.
+struct Node {
+    child: Child,
+    json: SocketAddr,
+    /// From its start until it listens.
+    started: Duration,
+}
+
+impl Node {
+    fn start(folder: &Path, batch: Option<usize>, result: usize) -> io::Result<Node> {
+        let vm = TcpListener::bind("127.0.0.1:0")?;
+        let (own, number) = (std::env::temp_dir(), std::process::id());
+        let (config, remembered) =
+            (own.join(format!("measure-{number}.json")), own.join(format!("measure-{number}.toml")));
+        let address = vm.local_addr()?;
+        let text = format!(
+            r#"{{"name": "n1", "listen": "127.0.0.1:0", "seed": "1", "stop_ms": 9000, "vm": "{address}", "settings": {SETTINGS}}}"#
+        );
+        std::fs::write(&config, text)?;
+        let program = std::env::current_exe()?.with_file_name("").join("../oakwind");
+        let mut command = Command::new(program);
+        command.arg("serve").arg("--config").arg(&config).env_remove("TMPDIR").stderr(Stdio::piped());
+        if let Some(batch) = batch {
+            let text = format!("folder = '{}'\nbatch = {batch}\nfile_mb = 128\n", folder.display());
+            std::fs::write(&remembered, text)?;
+            command.arg("--remembered").arg(&remembered);
+        }
+        let began = Instant::now();
+        let mut child = command.spawn()?;
+        let mut log = BufReader::new(child.stderr.take().ok_or(io::ErrorKind::BrokenPipe)?).lines();
+        let mut says = |words: &str| loop {
+            let line = log.next().ok_or(io::ErrorKind::UnexpectedEof)??;
+            if line.contains(words) {
+                return Ok::<String, io::Error>(line);
+            }
+        };
+        let line = says("JSON-RPC is served at ")?;
+        let started = began.elapsed();
+        let json =
+            line.rsplit(' ').next().and_then(|word| word.parse().ok()).ok_or(io::ErrorKind::InvalidData)?;
+        std::thread::spawn(move || interpret(&vm, result));
+        says("health is good")?;
+        std::thread::spawn(move || log.for_each(drop));
+        [config, remembered].iter().for_each(|file| drop(std::fs::remove_file(file)));
+        Ok(Node { child, json, started })
+    }
+
+    /// Seconds of the cores that the program has taken.
+    fn cpu(&self) -> io::Result<f64> {
+        let stat = std::fs::read_to_string(format!("/proc/{}/stat", self.child.id()))?;
+        let fields = stat.rsplit(") ").next().unwrap_or_default().split(' ').skip(11).take(2);
+        Ok(fields.filter_map(|ticks| ticks.parse::<f64>().ok()).sum::<f64>() / 100.0)
+    }
+
+    /// The most memory that it has taken, in KB.
+    fn peak(&self) -> io::Result<u64> {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        Ok(line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or_default())
+    }
+
+    /// Books with so many open at a time until so many are answered; returns how long each took, and how many were
+    /// served.
+    fn book(&mut self, open: usize, count: usize) -> io::Result<(Vec<Duration>, usize)> {
+        let stream = TcpStream::connect(self.json)?;
+        stream.set_nodelay(true)?;
+        let (mut output, mut input) = (stream.try_clone()?, BufReader::new(stream));
+        let (mut sent, mut times, mut served, mut line) = (Vec::new(), Vec::new(), 0, String::new());
+        while times.len() < count {
+            while sent.len() < count && sent.len() - times.len() < open {
+                let (id, door) =
+                    (sent.len() + 1, SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default());
+                let door = door.as_millis();
+                let asked = format!(
+                    r#"{{"jsonrpc":"2.0","id":{id},"method":"book","params":{{"txn":"{id:x}","door":{door},"lb":1,"limit":100000,"cpu":1.5,"ram":2.5,"unique":"{id:032x}","content":"Ym9keQ=="}}}}"#
+                );
+                sent.push(Instant::now());
+                output.write_all(asked.as_bytes())?;
+                output.write_all(b"\n")?;
+            }
+            line.clear();
+            if input.read_line(&mut line)? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            let id =
+                line.split("\"id\":").nth(1).and_then(|rest| rest.split(',').next()?.parse::<usize>().ok());
+            let Some(asked) = id.and_then(|id| sent.get(id - 1)) else { continue };
+            times.push(asked.elapsed());
+            served += usize::from(line.contains("\"result\""));
+        }
+        Ok((times, served))
+    }
+
+    /// Ends it and empties the folder.
+    fn end(self, folder: &Path) -> io::Result<()> {
+        drop(self);
+        for entry in std::fs::read_dir(folder)? {
+            std::fs::remove_file(entry?.path())?;
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Node {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A stand-in interpreter that ends every run at once, with so many bytes.
+fn interpret(vm: &TcpListener, result: usize) -> io::Result<()> {
+    let (stream, _) = vm.accept()?;
+    stream.set_nodelay(true)?;
+    let (mut output, mut input) = (stream.try_clone()?, BufReader::new(stream));
+    let (mut line, mut notice, result) = (String::new(), 0, "r".repeat(result));
+    loop {
+        line.clear();
+        if input.read_line(&mut line)? == 0 {
+            return Ok(());
+        }
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let said = match words[..] {
+            ["CONNECT", ..] => "BANNER seasoned 100000\r\n".to_string(),
+            ["TOP", tag] => format!("TOPS {tag} 0.5 1 0.1 3\r\n"),
+            ["APPLY", id, _, length] => {
+                io::copy(&mut input.by_ref().take(length.parse().unwrap_or(0) + 2), &mut io::sink())?;
+                notice += 1;
+                format!("VALUE {notice} {id} done 1 {}\r\n{result}\r\n", result.len())
+            }
+            _ => continue,
+        };
+        output.write_all(said.as_bytes())?;
+    }
+}
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -72,11 +72,13 @@
     pub config: Option<PathBuf>,
     /// The file that switches the uwsgi front on.
     pub uwsgi: Option<PathBuf>,
+    /// The file that makes keys and results outlast the process.
+    pub remembered: Option<PathBuf>,
 }
 
 impl Files {
     /// Reads and checks all there is.
-    pub fn read(&self) -> Result<(Config, Option<Uwsgi>), BadConfig> {
+    pub fn read(&self) -> Result<(Config, Option<Uwsgi>, Option<Remembered>), BadConfig> {
         let named = self.config.clone().or_else(|| std::env::var_os("BALANCER_CONFIG").map(PathBuf::from));
         let Some(path) = named else {
             return bad("no configuration: name one with --config or BALANCER_CONFIG");
@@ -89,7 +91,8 @@
         if config.links.vm.is_none() && config.links.runs.is_empty() {
             return bad("vm: missing, and no uwsgi servers run the requests in its place");
         }
-        Ok((config, uwsgi))
+        let remembered = self.remembered.as_deref().map(Remembered::read).transpose()?;
+        Ok((config, uwsgi, remembered))
     }
 }
 
@@ -314,16 +317,20 @@
     true
 }
 
+/// Reads an operators' file in TOML; what is wrong with it is told with its line and key.
+fn operators_file<'a, T: Deserialize<'a>>(what: &str, text: &'a str) -> Result<T, BadConfig> {
+    let wrong = |key: String, e: &toml::de::Error| {
+        let at = e.span().map_or(0, |span| text[..span.start.min(text.len())].lines().count().max(1));
+        BadConfig(format!("{what} file, line {at}{key}: {}", e.message()))
+    };
+    let table = toml::Deserializer::parse(text).map_err(|e| wrong(String::new(), &e))?;
+    serde_path_to_error::deserialize(table).map_err(|e| wrong(format!(", {}", e.path()), e.inner()))
+}
+
 impl Uwsgi {
     /// Reads the text of a uwsgi file.
     pub fn parse(text: &str) -> Result<Self, BadConfig> {
-        let wrong = |key: String, e: &toml::de::Error| {
-            let at = e.span().map_or(0, |span| text[..span.start.min(text.len())].lines().count().max(1));
-            BadConfig(format!("uwsgi file, line {at}{key}: {}", e.message()))
-        };
-        let table = toml::Deserializer::parse(text).map_err(|e| wrong(String::new(), &e))?;
-        let raw: RawUwsgi = serde_path_to_error::deserialize(table)
-            .map_err(|e| wrong(format!(", {}", e.path()), e.inner()))?;
+        let raw: RawUwsgi = operators_file("uwsgi", text)?;
         Ok(Uwsgi {
             listen: address("listen", &raw.listen)?,
             runs: addresses("runs", &raw.runs)?,
@@ -338,6 +345,57 @@
     }
 }
 
+/// Where keys and results outlast the process.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Remembered {
+    /// A folder that lasts, of this node alone.
+    pub folder: PathBuf,
+    /// Bytes that it may take.
+    pub file: u64,
+    /// Records that may share one wait for the disk.
+    pub batch: usize,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawRemembered {
+    folder: PathBuf,
+    #[serde(default = "usual_file_mb")]
+    file_mb: u64,
+    #[serde(default = "usual_batch")]
+    batch: usize,
+}
+
+fn usual_file_mb() -> u64 {
+    64
+}
+
+fn usual_batch() -> usize {
+    1024
+}
+
+impl Remembered {
+    /// Reads the text of a file.
+    pub fn parse(text: &str) -> Result<Self, BadConfig> {
+        let RawRemembered { folder, file_mb, batch } = operators_file("remembered", text)?;
+        if !folder.is_absolute() {
+            return bad(format!("folder: {}: an absolute path is needed", folder.display()));
+        }
+        if !(4..=65_536).contains(&file_mb) {
+            return bad("file_mb: 4 to 65536 are possible");
+        }
+        if !(1..=4096).contains(&batch) {
+            return bad("batch: 1 to 4096 are possible");
+        }
+        Ok(Remembered { folder, file: file_mb * 1024 * 1024, batch })
+    }
+
+    /// Reads the file.
+    pub fn read(path: &Path) -> Result<Self, BadConfig> {
+        Remembered::parse(&text_of(path)?)
+    }
+}
+
 impl Vrrp {
     fn from_raw(raw: RawVrrp) -> Result<Self, BadConfig> {
         if raw.vrid == 0 {
@@ -430,6 +488,22 @@
         assert_eq!(lacks(r#""lateWorth": 0.5, "#, ""), None, "not each of the classes had it");
     }
 
+    #[test]
+    fn a_remembered_file_says_what_is_wrong_with_it() {
+        let good = "folder = '/var/lib/oakwind'\nfile_mb = 8\n";
+        assert_eq!(Remembered::parse(good).unwrap().batch, 1024);
+        for (from, to, key) in [
+            ("folder = '/var/lib/oakwind'", "", "folder"),
+            ("'/var", "'var", "folder"),
+            ("8", "1", "file_mb"),
+            ("8", "8\nbatch = 0", "batch"),
+            ("8", "8\nsurprise = 1", "surprise"),
+        ] {
+            let line = Remembered::parse(&good.replace(from, to)).unwrap_err().to_string();
+            assert!(line.contains(key) && !line.contains('\n'), "{line:?} names {key}");
+        }
+    }
+
     #[test]
     fn a_uwsgi_file_says_what_is_wrong_with_it() {
         let good = "listen = '127.0.0.1:0'\n[vrrp]\nvrid = 7\naddresses = ['127.0.1.1']\n\
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -1,7 +1,7 @@
 //! Drives the decisions: gathers what happened in one wake-up into one call of [`Admission::handle`], carries
 //! out its actions, and keeps the table of requests, the table of keys and the timers. It knows no wire.
 
-mod keys;
+pub mod keys;
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -22,6 +22,8 @@
     RunCommand, State, Ticket,
 };
 use crate::log;
+use crate::remembered::record::{Record, State as Said};
+use crate::remembered::{recovery::Recovered, Remembrance, Told, Waiting};
 use keys::{Kept, Keys, Linked};
 
 /// The gauges are asked for this long before the timer that they go with, as the answer takes a moment.
@@ -109,6 +111,8 @@
     /// Tries with keys, while it is not known which keys the process before this one has run. As bounded as
     /// connections and what may be open on them.
     held_back: Vec<Input>,
+    /// Where keys outlast this process, if an operators' file says so.
+    remembrance: Option<Remembrance>,
 }
 
 impl Core {
@@ -133,6 +137,19 @@
             opened: false,
             heir: None,
             held_back: Vec::new(),
+            remembrance: None,
+        }
+    }
+
+    /// Keys outlast the process from now on, and this is what the ones before it left. None while the process before
+    /// still has the folder.
+    pub fn remember(&mut self, remembrance: Remembrance, recovered: Option<Recovered>) {
+        self.ends.figures.remembers(remembrance.tally.clone());
+        self.remembrance = Some(remembrance);
+        self.keys = std::mem::take(&mut self.keys).lasting();
+        if let Some(recovered) = recovered {
+            self.keys.digests_with(recovered.seed);
+            self.recall(recovered);
         }
     }
 
@@ -150,6 +167,7 @@
                         self.take_in(input);
                     }
                 }
+                told = Remembrance::told(&mut self.remembrance) => self.told(told),
                 () = clock::until(wake) => {}
             }
             self.settle();
@@ -244,6 +262,9 @@
             }
             Input::HeirGone => {
                 self.heir = None;
+                if let Some(remembrance) = &mut self.remembrance {
+                    remembrance.take_over(true);
+                }
                 // One that is to leave takes no clients again.
                 self.update(|state| state.handed &= state.draining.is_some());
             }
@@ -284,14 +305,22 @@
             log!("request {:?} came again while it is open", request.txn);
             return ticket.answer(Outcome::Failed { overdue: false });
         }
-        if self.admission.is_none() {
-            return ticket.answer(self.not_now());
-        }
         let now = clock::now();
         let key = self.key_of(&request);
+        if self.admission.is_none() {
+            // Guards a request that has run against a refusal, which would say that it has not.
+            let kept = key.as_ref().filter(|_| !self.ends.state.borrow().inheriting);
+            let outcome = kept.and_then(|key| self.known_before(key, &request, now));
+            return ticket.answer(outcome.unwrap_or_else(|| self.not_now()));
+        }
         if key.is_some() && self.ends.state.borrow().inheriting {
             return self.held_back.push(Input::Submitted(request, claim, ticket));
         }
+        // Guards against a second run of what a damaged record may have told of.
+        if key.as_ref().is_some_and(|key| self.in_doubt(key, now)) {
+            log!("request {:?} has a key that may have run: what tells of it is damaged", request.txn);
+            return ticket.answer(Outcome::Failed { overdue: false });
+        }
         // Guards against a run here and one in the process that took over, which would not know of this key.
         if key.as_ref().is_some_and(|key| self.heir_told() && !self.keys.knows(key)) {
             return ticket.answer(self.not_now());
@@ -330,6 +359,94 @@
         self.tries.insert(id, Try { id, request, claim, ticket: Some(ticket), phase: Phase::Held });
     }
 
+    /// What a request gets that came before anything can run here, if its key is known from an earlier process.
+    fn known_before(&self, key: &keys::Key, request: &Request, now: Unix) -> Option<Outcome> {
+        if self.in_doubt(key, now) {
+            return Some(Outcome::Failed { overdue: false });
+        }
+        Some(match self.keys.kept(key, &request.body, request.door)? {
+            Kept::Done(result) => Outcome::Served(result),
+            Kept::Failed => Outcome::Failed { overdue: false },
+            Kept::NeverRan => return None,
+        })
+    }
+
+    /// Whether a key that is not known may have run, as far as damage to the folder tells.
+    fn in_doubt(&self, key: &keys::Key, now: Unix) -> bool {
+        let doubts = self.remembrance.as_ref().map(|remembrance| &remembrance.doubts);
+        doubts.is_some_and(|doubts| !self.keys.knows(key) && doubts.doubts(key, now))
+    }
+
+    /// Takes in what the folder tells of earlier processes. What began and has no end has failed.
+    fn recall(&mut self, recovered: Recovered) {
+        for KeyRecord { key, body, until, fate } in recovered.keys {
+            let id = self.new_id();
+            self.keys.inherit(key, (body, until, fate), id);
+        }
+        for joiner in self.keys.inheritance_over() {
+            self.join_ended(joiner, &Kept::Failed, clock::now());
+        }
+        if let Some(remembrance) = &mut self.remembrance {
+            remembrance.doubts = recovered.doubts;
+        }
+    }
+
+    /// The folder has kept something, or is open.
+    fn told(&mut self, told: Told) {
+        let Some(remembrance) = &mut self.remembrance else { return };
+        match told {
+            Told::Written(id, kept) => match remembrance.waiting.remove(&id) {
+                Some(Waiting::Begin) => self.recorded(id, kept),
+                Some(Waiting::End(end)) => self.run_over(id, if kept { end } else { End::Crashed }),
+                // Nobody waits for that.
+                None => {}
+            },
+            Told::Opened(recovered) if remembrance.recalls => self.recall(recovered),
+            // The process before has told all this, and more of late.
+            Told::Opened(recovered) => remembrance.doubts = recovered.doubts,
+        }
+    }
+
+    /// That a run begins is in the folder now, or could not be kept: then it does not begin.
+    fn recorded(&mut self, id: RequestId, kept: bool) {
+        let Some(taken) = self.tries.get(&id) else { return };
+        let request = taken.request.clone();
+        if kept && taken.ticket.is_some() {
+            return self.hand_to_run(request);
+        }
+        if kept {
+            // Its caller has had an answer, or has gone, so nobody waits for the run.
+            self.record(id, Said::Freed, Bytes::new());
+        }
+        self.run_ended(&request.txn, End::NeverRan);
+    }
+
+    /// Has the folder keep something of the key that a try holds: whether the disk takes it, or none where nothing
+    /// outlasts this process or another one has the folder.
+    fn record(&self, id: RequestId, state: Said, result: Bytes) -> Option<bool> {
+        let recorder = self.remembrance.as_ref()?.recorder.as_ref()?;
+        let (key, body, until) = self.keys.held_by(id)?;
+        Some(recorder.write(id, Record { number: 0, at: Duration::ZERO, until, body, state, key, result }))
+    }
+
+    /// Has the folder keep what a try waits for, in the same terms.
+    fn record_and_wait(&mut self, id: RequestId, waits: Waiting) -> Option<bool> {
+        if self.remembrance.is_none() || !self.keys.holds(id) {
+            return None;
+        }
+        let (state, result) = match &waits {
+            Waiting::Begin => (Said::Begun, Bytes::new()),
+            // It outlives the buffer that it was read into.
+            Waiting::End(End::Done(result)) => (Said::Done, Bytes::copy_from_slice(result)),
+            Waiting::End(_) => (Said::Failed, Bytes::new()),
+        };
+        let taken = self.record(id, state, result)?;
+        if let Some(remembrance) = self.remembrance.as_mut().filter(|_| taken) {
+            remembrance.waiting.insert(id, waits);
+        }
+        Some(taken)
+    }
+
     fn new_id(&mut self) -> RequestId {
         let id = RequestId(self.next_id);
         self.next_id = self.next_id.wrapping_add(1).max(1);
@@ -339,21 +456,38 @@
     /// Takes in what the process before this one knows. The first of it is its whole table.
     fn inherit(&mut self, estate: Estate) {
         let now = clock::now();
-        if self.ends.state.borrow().inheriting {
+        let first = self.ends.state.borrow().inheriting;
+        if first {
             self.keys.digests_with(estate.seed);
             log!("handover: {} keys are known from the process before", estate.keys.len());
         }
         for KeyRecord { key, body, until, fate } in estate.keys {
             let id = self.new_id();
-            if let Some((joiners, kept)) = self.keys.inherit(key, (body, until, fate), id) {
+            if let Some((joiners, kept)) = self.keys.inherit(key.clone(), (body, until, fate), id) {
+                // What it tells at first is in the folder already.
+                if let Some(holder) = self.keys.holder(&key).filter(|_| !first) {
+                    self.record_kept(holder, &kept);
+                }
                 for joiner in joiners {
                     self.join_ended(joiner, &kept, now);
                 }
             }
         }
+        if let Some(remembrance) = self.remembrance.as_mut().filter(|_| first) {
+            remembrance.take_over(false);
+        }
         self.inherited();
     }
 
+    /// Has the folder keep how a run ended that nobody here waits for.
+    fn record_kept(&self, id: RequestId, kept: &Kept) {
+        match kept {
+            Kept::Done(result) => self.record(id, Said::Done, result.clone()),
+            Kept::Failed => self.record(id, Said::Failed, Bytes::new()),
+            Kept::NeverRan => self.record(id, Said::Freed, Bytes::new()),
+        };
+    }
+
     /// Requests with keys are decided on from now on.
     fn inherited(&mut self) {
         self.update(|state| state.inheriting = false);
@@ -368,12 +502,24 @@
     fn tell_heir_all(&mut self, now: Unix) {
         let Some(heir) = self.heir.as_mut().filter(|heir| !heir.told && now >= heir.at) else { return };
         heir.told = true;
+        self.release_folder();
         let (seed, all) = self.keys.all();
         let keys = all.map(|(key, body, until, fate)| KeyRecord { key: key.clone(), body, until, fate });
         let estate = Estate { seed, keys: keys.collect() };
         self.tell_heir(estate);
     }
 
+    /// Leaves the folder to the process that takes over. What is held here may still run here, so it counts as begun.
+    fn release_folder(&mut self) {
+        let held = self.tries.values().filter(|t| t.phase == Phase::Held && self.keys.holds(t.id));
+        for t in held {
+            self.record(t.id, Said::Begun, Bytes::new());
+        }
+        if let Some(remembrance) = &mut self.remembrance {
+            remembrance.recorder = None;
+        }
+    }
+
     /// Tells the process that took over what became of the run of a try, if that holds a key.
     fn tell_heir_of(&mut self, id: RequestId, fate: Fate) {
         if !self.heir_told() {
@@ -424,13 +570,31 @@
         let Some(&id) = self.by_txn.get(txn) else {
             return log!("run of {txn:?} ended, which is not in hand");
         };
+        let Some(taken) = self.tries.get(&id) else { return };
+        if matches!(taken.phase, Phase::Held | Phase::Joining { .. }) {
+            return log!("run of {txn:?} ended, which never began");
+        }
+        if end == End::NeverRan {
+            return self.run_over(id, end);
+        }
+        match self.record_and_wait(id, Waiting::End(end.clone())) {
+            Some(true) => {}
+            // Later tries get the same as its caller does now.
+            Some(false) => self.run_over(id, End::Crashed),
+            None => self.run_over(id, end),
+        }
+    }
+
+    /// How a run ended is known for sure.
+    fn run_over(&mut self, id: RequestId, end: End) {
         let now = clock::now();
         let Some(taken) = self.tries.get(&id) else { return };
+        let txn = taken.request.txn.clone();
         let since = match taken.phase {
-            Phase::Held | Phase::Joining { .. } => return log!("run of {txn:?} ended, which never began"),
+            Phase::Held | Phase::Joining { .. } => return,
             Phase::Running { since } | Phase::AtCall { since, .. } => since,
             Phase::Calling { since, .. } => {
-                self.command_call(CallCommand::GiveUp(txn.clone()));
+                self.command_call(CallCommand::GiveUp(txn));
                 since
             }
         };
@@ -595,6 +759,14 @@
         let Some(taken) = self.tries.get_mut(&id) else { return };
         taken.phase = Phase::Running { since: now };
         let request = taken.request.clone();
+        match self.record_and_wait(id, Waiting::Begin) {
+            Some(true) => {}
+            Some(false) => self.run_ended(&request.txn, End::NeverRan),
+            None => self.hand_to_run(request),
+        }
+    }
+
+    fn hand_to_run(&mut self, request: Rc<Request>) {
         if self.ends.runs.try_send(RunCommand::Run(request.clone())).is_err() {
             log!("no room for one more command to what runs requests");
             return self.run_ended(&request.txn, End::NeverRan);
--- a/node/src/core/keys.rs
+++ b/node/src/core/keys.rs
@@ -1,7 +1,7 @@
 //! The table of keys: which try of a key holds it, what became of its run, and which tries wait for that.
 
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::hash::{BuildHasher, DefaultHasher, Hasher, RandomState};
+use std::hash::{BuildHasher, RandomState};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -9,6 +9,8 @@
 
 use crate::clock::Unix;
 use crate::exchange::Fate;
+use crate::remembered::ledger::LONGEST_RESULT;
+use crate::remembered::record::digest;
 
 /// A key names one request, whichever class its tries come in: guards a request against a second run where its
 /// class gets another name between two of them.
@@ -16,7 +18,7 @@
 
 /// An entry that has run out is kept this much longer for tries that were read late: those that came to the
 /// machine in its time are still linked to it.
-const READ_LATE: Duration = Duration::from_secs(8);
+pub const READ_LATE: Duration = Duration::from_secs(8);
 
 /// Memory that a remembered key takes, by a generous estimate, beside its result.
 const ENTRY_BYTES: usize = 512;
@@ -99,6 +101,10 @@
     results: VecDeque<Key>,
     bytes: usize,
     most_bytes: usize,
+    /// No result is dropped before its time, and those to come have their room set aside.
+    lasting: bool,
+    /// Keys whose runs have not ended.
+    open: usize,
 }
 
 impl Keys {
@@ -107,11 +113,14 @@
         Keys { seed: RandomState::new().hash_one(()), most_bytes, ..Keys::default() }
     }
 
+    /// The same in every build: the digest may come from another process.
     fn digest(&self, body: &[u8]) -> u64 {
-        let mut hasher = DefaultHasher::new();
-        hasher.write_u64(self.seed);
-        hasher.write(body);
-        hasher.finish()
+        digest(self.seed, body)
+    }
+
+    /// The same table, whose results stay for as long as their keys.
+    pub fn lasting(self) -> Self {
+        Keys { lasting: true, ..self }
     }
 
     /// How bodies are digested, and all keys: the digest of the body, how long each is remembered and what
@@ -148,6 +157,7 @@
                 joiners: vec![],
             };
             self.entries.insert(key.clone(), entry);
+            self.open += 1;
             self.held.insert(id, key.clone());
         }
         let entry = self.entries.get(&key)?;
@@ -219,6 +229,7 @@
                     joiners: vec![],
                 };
                 self.entries.insert(key.clone(), entry);
+                self.open += 1;
             }
         }
         self.held.insert(id, key);
@@ -227,13 +238,27 @@
     /// The try gives up its key.
     pub fn forget(&mut self, id: RequestId) {
         let entry = self.held.remove(&id).and_then(|key| self.entries.remove(&key));
+        self.open -= usize::from(entry.as_ref().is_some_and(|entry| entry.kept.is_none()));
         self.bytes -= entry.map_or(0, |entry| entry.bytes());
     }
 
     /// Whether there is no room for one more key. Guards the memory of the process: a key can't be forgotten before
     /// its time.
     pub fn full(&self) -> bool {
-        self.entries.len() >= (self.most_bytes / ENTRY_BYTES).max(FEWEST)
+        let to_come = if self.lasting { self.bytes + (self.open + 1) * LONGEST_RESULT } else { 0 };
+        self.entries.len() >= (self.most_bytes / ENTRY_BYTES).max(FEWEST) || to_come > self.most_bytes
+    }
+
+    /// What is kept of the run of this key, if that has ended and the key is that of this body.
+    pub fn kept(&self, key: &Key, body: &[u8], door: Unix) -> Option<Kept> {
+        let entry =
+            self.entries.get(key).filter(|entry| door <= entry.until && entry.body == self.digest(body))?;
+        entry.kept.clone()
+    }
+
+    /// The try that holds this key.
+    pub fn holder(&self, key: &Key) -> Option<RequestId> {
+        self.entries.get(key).map(|entry| entry.holder)
     }
 
     /// Whether anything is remembered of this key.
@@ -279,6 +304,10 @@
             self.forget(id);
             return joiners;
         }
+        let too_long = |kept: &Kept| matches!(kept, Kept::Done(result) if result.len() > LONGEST_RESULT);
+        let kept = if self.lasting && too_long(&kept) { Kept::Failed } else { kept };
+        self.open -= usize::from(entry.kept.is_none());
+        self.bytes -= entry.bytes();
         entry.kept = Some(kept);
         self.bytes += entry.bytes();
         self.results.push_back(key.clone());
@@ -299,12 +328,13 @@
             return;
         }
         self.swept = now;
-        let Keys { held, bytes, entries, results, .. } = self;
+        let Keys { held, bytes, entries, results, open, .. } = self;
         entries.retain(|_, entry| {
             let stays = now < entry.until + READ_LATE;
             if !stays {
                 held.remove(&entry.holder);
                 *bytes -= entry.bytes();
+                *open -= usize::from(entry.kept.is_none());
             }
             stays
         });
@@ -372,6 +402,27 @@
         assert!(!keys.full());
     }
 
+    #[test]
+    fn in_a_lasting_table_no_result_goes_early_and_each_open_run_has_its_room() {
+        let mut keys = Keys::new(3 * LONGEST_RESULT).lasting();
+        let key = |n: u32| Bytes::from(n.to_be_bytes().to_vec());
+        for n in 0..3 {
+            assert!(!keys.full());
+            keys.remember(key(n), b"x", RequestId(n), at(117));
+        }
+        assert!(keys.full());
+        let longest = Kept::Done(vec![0; LONGEST_RESULT].into());
+        for n in 0..3 {
+            keys.ended(RequestId(n), longest.clone());
+        }
+        assert!(keys.full() && (0..3).all(|n| keys.kept(&key(n), b"x", at(110)) == Some(longest.clone())));
+        keys.sweep(at(126));
+        assert!(!keys.full());
+        keys.remember(key(4), b"x", A, at(140));
+        keys.ended(A, Kept::Done(vec![0; LONGEST_RESULT + 1].into()));
+        assert_eq!(keys.kept(&key(4), b"x", at(130)), Some(Kept::Failed), "too long to be kept");
+    }
+
     #[test]
     fn a_run_that_never_began_frees_its_key() {
         let mut keys = keys();
--- a/node/src/figures.rs
+++ b/node/src/figures.rs
@@ -2,8 +2,11 @@
 
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Arc;
 
 use crate::exchange::Outcome;
+use crate::remembered::Tally;
 
 /// Every name begins with this.
 const PREFIX: &str = "svc";
@@ -25,6 +28,8 @@
     current: Cell<u64>,
     loaded: Cell<u64>,
     invalid: Cell<u64>,
+    /// Of the folder that outlasts the process, if there is one.
+    remembered: RefCell<Option<Arc<Tally>>>,
 }
 
 impl Figures {
@@ -58,6 +63,11 @@
         counted.set(counted.get() + 1);
     }
 
+    /// Keys outlast the process from now on.
+    pub fn remembers(&self, tally: Arc<Tally>) {
+        *self.remembered.borrow_mut() = Some(tally);
+    }
+
     fn count(&self, class: u16, change: impl FnOnce(&mut Counts)) {
         let (mut classes, class) = (self.classes.borrow_mut(), usize::from(class));
         if classes.len() <= class {
@@ -85,6 +95,16 @@
         line("current", None, self.current.get());
         line("conf_loaded", None, self.loaded.get());
         line("conf_invalid", None, self.invalid.get());
+        if let Some(tally) = &*self.remembered.borrow() {
+            let mut line = |name: &str, value: &AtomicU64| line(name, None, value.load(Ordering::Relaxed));
+            line("remembered_keys", &tally.keys);
+            line("remembered_bytes", &tally.bytes);
+            line("remembered_written", &tally.written);
+            line("remembered_refused", &tally.refused);
+            line("remembered_syncs", &tally.syncs);
+            line("remembered_damaged", &tally.damaged);
+            line("remembered_noise_bytes", &tally.noise);
+        }
         text
     }
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -16,6 +16,7 @@
 mod membership;
 mod names;
 mod operators;
+mod remembered;
 mod serve;
 mod uwsgi;
 mod vrrp;
@@ -51,6 +52,9 @@
     /// a file that switches the uwsgi front on, such as deploy/uwsgi.toml
     #[argh(option)]
     uwsgi: Option<PathBuf>,
+    /// a file that makes keys and results outlast the process, such as deploy/remembered.toml
+    #[argh(option)]
+    remembered: Option<PathBuf>,
 }
 
 /// Read the configuration and say whether it can be served.
@@ -63,6 +67,9 @@
     /// a file that switches the uwsgi front on, such as deploy/uwsgi.toml
     #[argh(option)]
     uwsgi: Option<PathBuf>,
+    /// a file that makes keys and results outlast the process, such as deploy/remembered.toml
+    #[argh(option)]
+    remembered: Option<PathBuf>,
 }
 
 /// Print the version.
@@ -73,10 +80,12 @@
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     let done = match arguments.command {
-        Command::Serve(Serve { config, uwsgi }) => serve::serve(&Files { config, uwsgi }),
-        Command::Check(Check { config, uwsgi }) => Files { config, uwsgi }
+        Command::Serve(Serve { config, uwsgi, remembered }) => {
+            serve::serve(&Files { config, uwsgi, remembered })
+        }
+        Command::Check(Check { config, uwsgi, remembered }) => Files { config, uwsgi, remembered }
             .read()
-            .map(|(config, _)| println!("{}: can be served", config.name))
+            .map(|(config, ..)| println!("{}: can be served", config.name))
             .map_err(|e| e.to_string()),
         Command::Version(Version {}) => {
             println!("oakwind {}", env!("CARGO_PKG_VERSION"));
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -17,7 +17,7 @@
 use crate::backends::index::Index;
 use crate::backends::interpreter::Interpreter;
 use crate::backends::uwsgi::{self as client, Servers};
-use crate::config::{Config, Files, Links, Uwsgi};
+use crate::config::{Config, Files, Links, Remembered, Uwsgi};
 use crate::core::Core;
 use crate::exchange::{self, Exchange};
 use crate::fronts::guests::{Guest, Guests};
@@ -25,6 +25,7 @@
 use crate::fronts::uwsgi::{self, Front, Ids};
 use crate::names::Names;
 use crate::operators::{self, Office};
+use crate::remembered::Remembrance;
 use crate::{clock, handover, log, membership, vrrp};
 
 /// Connections that the system may keep until they are accepted.
@@ -40,15 +41,20 @@
 
 /// Serves until the notice to leave, then drains.
 pub fn serve(files: &Files) -> Result<(), String> {
-    let (config, uwsgi) = files.read().map_err(|e| e.to_string())?;
+    let (config, uwsgi, remembered) = files.read().map_err(|e| e.to_string())?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|e| format!("no runtime: {e}"))?;
-    runtime.block_on(LocalSet::new().run_until(run(files, config, uwsgi)))
+    runtime.block_on(LocalSet::new().run_until(run(files, config, uwsgi, remembered)))
 }
 
-async fn run(files: &Files, config: Config, uwsgi: Option<Uwsgi>) -> Result<(), String> {
+async fn run(
+    files: &Files,
+    config: Config,
+    uwsgi: Option<Uwsgi>,
+    remembered: Option<Remembered>,
+) -> Result<(), String> {
     // Comes first: a signal that nobody hears yet would end the process.
     let (notice, hangup) = signals().map_err(|e| format!("no signals: {e}"))?;
     let place = handover::place(config.listen);
@@ -90,7 +96,14 @@
         let servers = Servers::new(links.clone(), |links| &links.calls, names.clone());
         spawn_local(call(servers, exchange.clone(), backends.calls, each));
     }
-    spawn_local(Core::new(core, config.settings.clone(), config.seed, config.memory / RESULTS).run());
+    let mut core = Core::new(core, config.settings.clone(), config.seed, config.memory / RESULTS);
+    if let Some(remembered) = remembered {
+        let mut remembrance = Remembrance::closed(remembered, longest(&config));
+        // The process before has the folder until it has handed over.
+        let recovered = if upgrade { None } else { Some(remembrance.open()?) };
+        core.remember(remembrance, recovered);
+    }
+    spawn_local(core.run());
     let front = {
         let (exchange, names) = (exchange.clone(), names.clone());
         move |stream, guest| jsonrpc::serve(stream, guest, exchange.clone(), names.clone())
@@ -151,6 +164,13 @@
     Ok(())
 }
 
+/// The longest that any key is remembered, with some to spare.
+fn longest(config: &Config) -> Duration {
+    let classes = config.settings.settings.classes.iter();
+    let longest = classes.map(|class| class.window.max(class.deadline)).max().unwrap_or_default();
+    longest + Duration::from_secs(1)
+}
+
 /// How the descriptors are shared out, so that neither front can use up what the other and the backends need.
 struct Room {
     /// Connections of front ends.
@@ -211,7 +231,7 @@
             }
         };
         let before = newest.as_ref().unwrap_or(begun);
-        let taken = files.read().map_err(|e| e.to_string()).and_then(|(new, _)| {
+        let taken = files.read().map_err(|e| e.to_string()).and_then(|(new, ..)| {
             if let Some(key) = new.links.unlike(&before.links) {
                 return Err(format!(
                     "{key}: what does this job, or that anything does, changes with a restart only"
--- a/node/tests/sockets/helper.rs
+++ b/node/tests/sockets/helper.rs
@@ -80,6 +80,16 @@
 
     /// Starts it, with a folder of its own if it shares one with another process.
     pub fn spawn(config: &str, uwsgi: Option<&str>, folder: Option<&Path>) -> Node {
+        Node::spawn_with(config, uwsgi, folder, None)
+    }
+
+    /// The same, with the text of a file that makes keys outlast it.
+    pub fn spawn_with(
+        config: &str,
+        uwsgi: Option<&str>,
+        folder: Option<&Path>,
+        remembered: Option<&str>,
+    ) -> Node {
         let path = file("config.json", config);
         let mut command = oakwind(&["serve", "--config", path.to_str().unwrap()]);
         let mut files = vec![path];
@@ -87,6 +97,9 @@
             files.push(file("uwsgi.toml", text));
             command.arg("--uwsgi").arg(&files[1]);
         }
+        if let Some(text) = remembered {
+            command.arg("--remembered").arg(file("remembered.toml", text));
+        }
         if let Some(folder) = folder {
             command.env("TMPDIR", folder);
         }
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -6,6 +6,7 @@
 mod links;
 mod operators;
 mod reload;
+mod remembered;
 mod upgrade;
 mod uwsgi;
 mod vrrp;
--- a/node/tests/sockets/upgrade.rs
+++ b/node/tests/sockets/upgrade.rs
@@ -6,15 +6,15 @@
 use tokio::net::TcpSocket;
 
 /// What two processes of one node share: an address that only this test uses, a folder, and a uwsgi front.
-struct Place {
-    json: String,
+pub struct Place {
+    pub json: String,
     uwsgi: String,
-    folder: PathBuf,
+    pub folder: PathBuf,
     _held: [TcpSocket; 2],
 }
 
 impl Place {
-    fn new(host: &str) -> Place {
+    pub fn new(host: &str) -> Place {
         // Held, shared and deaf, for as long as the test lasts: nobody else gets these ports, and a copy that a child
         // of another test holds for a moment shuts no process of the node out.
         let held = [(); 2].map(|()| {
