--- /dev/null
+++ b/rig/src/charts.rs
@@ -0,0 +1,150 @@
+//! Charts of a play as SVG.
+
+use plotters::prelude::*;
+
+use crate::figures::{Band, Figures, Second};
+
+const SIZE: (u32, u32) = (860, 230);
+/// Colours that stay apart for those who see few of them.
+const BLUE: RGBColor = RGBColor(31, 97, 160);
+const ORANGE: RGBColor = RGBColor(204, 102, 0);
+const GREY: RGBColor = RGBColor(120, 120, 120);
+const RED: RGBColor = RGBColor(170, 40, 60);
+const BAND: RGBColor = RGBColor(235, 224, 200);
+/// The font's size in points.
+const TEXT: i32 = 13;
+
+/// One line of a chart.
+struct Curve {
+    name: &'static str,
+    colour: RGBColor,
+    of: fn(&Second) -> f64,
+}
+
+/// A chart: its name and its SVG.
+#[derive(Debug, Clone, serde::Serialize)]
+pub struct Chart {
+    /// What it shows.
+    pub title: &'static str,
+    /// A name for its file.
+    pub name: &'static str,
+    /// The picture.
+    pub svg: String,
+}
+
+/// The charts of a play.
+pub fn charts(figures: &Figures) -> Vec<Chart> {
+    let share = |second: &Second| {
+        if second.asked_worth > 0.0 {
+            second.served_worth / second.asked_worth * 100.0
+        } else {
+            100.0
+        }
+    };
+    let wanted: [(&str, &str, Vec<Curve>); 3] = [
+        ("Worth served, of 100 asked for", "served", vec![Curve { name: "served", colour: BLUE, of: share }]),
+        (
+            "Requests a second",
+            "requests",
+            vec![
+                Curve { name: "asked", colour: GREY, of: |s| s.asked as f64 },
+                Curve { name: "in time", colour: BLUE, of: |s| s.in_time as f64 },
+                Curve { name: "refused", colour: ORANGE, of: |s| s.refused as f64 },
+                Curve { name: "failed", colour: RED, of: |s| s.failed as f64 },
+            ],
+        ),
+        (
+            "Tries, runs and new connections a second",
+            "work",
+            vec![
+                Curve { name: "tries", colour: GREY, of: |s| s.tries as f64 },
+                Curve { name: "runs", colour: BLUE, of: |s| s.began as f64 },
+                Curve { name: "connections", colour: ORANGE, of: |s| s.connected as f64 },
+            ],
+        ),
+    ];
+    let drawn = wanted.into_iter().filter_map(|(title, name, curves)| {
+        Some(Chart { title, name, svg: draw(title, &figures.seconds, &figures.bands, &curves)? })
+    });
+    drawn.collect()
+}
+
+/// Draws one; nothing where there is nothing to draw, or it can't be drawn.
+fn draw(title: &str, seconds: &[Second], bands: &[Band], curves: &[Curve]) -> Option<String> {
+    let values = curves.iter().flat_map(|curve| seconds.iter().map(curve.of));
+    let top = values.fold(1.0, f64::max) * 1.05;
+    let end = seconds.len() as f64;
+    let mut svg = String::new();
+    {
+        let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
+        area.fill(&WHITE).ok()?;
+        let mut chart = ChartBuilder::on(&area)
+            .caption(title, ("sans-serif", TEXT + 2))
+            .margin(8)
+            .x_label_area_size(26)
+            .y_label_area_size(44)
+            .build_cartesian_2d(0.0..end, 0.0..top)
+            .ok()?;
+        for band in bands {
+            // One that has no length is drawn as a line.
+            let until = band.until.max(band.from + end / 400.0).min(end);
+            chart.draw_series([Rectangle::new([(band.from, 0.0), (until, top)], BAND.filled())]).ok()?;
+        }
+        chart
+            .configure_mesh()
+            .disable_x_mesh()
+            .light_line_style(WHITE)
+            .bold_line_style(RGBColor(230, 230, 230))
+            .label_style(("sans-serif", TEXT - 1))
+            .x_labels(12)
+            .y_labels(5)
+            .x_desc("seconds")
+            .draw()
+            .ok()?;
+        for curve in curves {
+            let points = seconds.iter().enumerate().map(|(i, second)| (i as f64 + 0.5, (curve.of)(second)));
+            let style = curve.colour.stroke_width(2);
+            let drawn = chart.draw_series(LineSeries::new(points, style)).ok()?;
+            drawn.label(curve.name).legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], style));
+        }
+        if curves.len() > 1 {
+            chart
+                .configure_series_labels()
+                .position(SeriesLabelPosition::UpperRight)
+                .background_style(WHITE.mix(0.85))
+                .border_style(RGBColor(200, 200, 200))
+                .label_font(("sans-serif", TEXT - 1))
+                .draw()
+                .ok()?;
+        }
+        area.present().ok()?;
+    }
+    Some(svg)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_chart_has_its_curves_and_its_bands() {
+        let seconds: Vec<Second> = (0..20)
+            .map(|i| Second {
+                asked: 10,
+                in_time: i,
+                asked_worth: 10.0,
+                served_worth: i as f64,
+                ..Second::default()
+            })
+            .collect();
+        let bands = [Band { text: "kill".into(), from: 5.0, until: 7.0 }];
+        let curves = [
+            Curve { name: "asked", colour: GREY, of: |s| s.asked as f64 },
+            Curve { name: "in time", colour: BLUE, of: |s| s.in_time as f64 },
+        ];
+        let svg = draw("Requests", &seconds, &bands, &curves).unwrap();
+        assert!(svg.starts_with("<svg") && svg.contains("Requests") && svg.contains("in time"));
+        assert!(svg.contains("#EBE0C8"), "the band");
+        assert!(svg.matches("<polyline").count() >= 2, "the curves");
+    }
+}
--- /dev/null
+++ b/rig/src/check.rs
@@ -0,0 +1,637 @@
+//! The rules, as a function of a history. Each has a test with a history that it must turn down.
+//!
+//! A request is excused from being lost where the rig itself was in the way: its node was killed or stood still, its
+//! link was disturbed, or the rig ran late, at some moment between the request's writing and its due time.
+
+use std::collections::{BTreeMap, HashMap};
+
+use serde::Serialize;
+
+use crate::history::{Drop, Event, History, Kind, Way};
+use crate::model::Ms;
+use crate::scenario::Once;
+
+/// A rule that can be broken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Rule {
+    /// A request got no answer by its due time, or one that can't be read.
+    Lost,
+    /// A request was answered twice.
+    AnsweredTwice,
+    /// A key ran twice at a node within its window.
+    RunTwice,
+    /// A key ran twice in the fleet within its window.
+    RunTwiceInFleet,
+    /// A request was refused that had run, or that runs.
+    RefusedAndRan,
+    /// Something ran that came after the notice to leave and its grace.
+    RunAfterNotice,
+    /// A request was served with a result that no run of its key made.
+    ForeignResult,
+    /// What the interpreter was told is not what came.
+    Spoilt,
+    /// A limit was passed: memory, descriptors, the crowd on the cores, or the time to leave.
+    LimitPassed,
+    /// The program ended by itself.
+    Crashed,
+}
+
+/// One breach of a rule.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Breach {
+    /// When.
+    pub t: Ms,
+    /// Of which rule.
+    pub rule: Rule,
+    /// What happened, with the try, the node and the key.
+    pub text: String,
+}
+
+/// What the checker found.
+#[derive(Debug, Clone, Default, PartialEq, Serialize)]
+pub struct Verdict {
+    /// Every breach, by time.
+    pub breaches: Vec<Breach>,
+    /// Requests written to nodes.
+    pub written: usize,
+    /// Those among them that were excused from being lost.
+    pub excused: usize,
+    /// Keys that ran more than once in the fleet within their window, whether or not the scenario forbids it.
+    pub twice_in_fleet: usize,
+}
+
+impl Verdict {
+    /// How often each rule was broken.
+    pub fn by_rule(&self) -> BTreeMap<Rule, usize> {
+        let mut counts = BTreeMap::new();
+        self.breaches.iter().for_each(|breach| *counts.entry(breach.rule).or_default() += 1);
+        counts
+    }
+}
+
+#[derive(Debug)]
+struct Try {
+    n: usize,
+    node: usize,
+    front: usize,
+    wrote: Ms,
+    due: Ms,
+    answered: Option<(Ms, Kind)>,
+    withdrew: Option<Ms>,
+    dropped: Option<(Ms, Drop)>,
+    began: Option<Ms>,
+}
+
+struct Run {
+    txn: u64,
+    node: usize,
+    /// Which memory of the node's it belongs to: one that is lost begins a new one.
+    memory: usize,
+    door: Ms,
+    at: Ms,
+}
+
+/// Stretches of time in which something held; the last may still be open.
+#[derive(Debug, Default)]
+struct Stretches(Vec<(Ms, Ms)>);
+
+impl Stretches {
+    fn set(&mut self, t: Ms, on: bool) {
+        match self.0.last_mut() {
+            Some((_, end)) if end.is_infinite() && !on => *end = t,
+            Some((_, end)) if end.is_infinite() && on => {}
+            _ if on => self.0.push((t, f64::INFINITY)),
+            _ => {}
+        }
+    }
+
+    fn touch(&self, from: Ms, to: Ms) -> bool {
+        self.0.iter().any(|(begin, end)| *begin <= to && *end >= from)
+    }
+}
+
+/// Where the rig was in the way.
+#[derive(Default)]
+struct Excuses {
+    down: HashMap<usize, Stretches>,
+    still: HashMap<usize, Stretches>,
+    disturbed: HashMap<(usize, Option<usize>), Stretches>,
+    late: Stretches,
+}
+
+impl Excuses {
+    fn hold(&self, taken: &Try, to: Ms) -> bool {
+        let touch = |stretches: Option<&Stretches>| stretches.is_some_and(|s| s.touch(taken.wrote, to));
+        touch(self.down.get(&taken.node))
+            || touch(self.still.get(&taken.node))
+            || touch(self.disturbed.get(&(taken.node, None)))
+            || touch(self.disturbed.get(&(taken.node, Some(taken.front))))
+            || self.late.touch(taken.wrote, to)
+    }
+}
+
+/// Checks a history.
+pub fn check(history: &History) -> Verdict {
+    let mut checker = Checker::default();
+    for seen in &history.seen {
+        checker.take(history, seen.t, &seen.what);
+    }
+    checker.finish(history)
+}
+
+#[derive(Default)]
+struct Checker {
+    breaches: Vec<Breach>,
+    tries: BTreeMap<u64, Try>,
+    /// The request whose key each request has, and its class.
+    keys: HashMap<usize, (usize, usize)>,
+    runs: HashMap<usize, Vec<Run>>,
+    /// Results of runs by key, with the nodes and memories that they were made in.
+    results: HashMap<usize, Vec<(usize, usize, String)>>,
+    memories: HashMap<usize, usize>,
+    notices: HashMap<usize, Ms>,
+    excuses: Excuses,
+    twice_in_fleet: usize,
+    passed: HashMap<(usize, &'static str), ()>,
+}
+
+impl Checker {
+    fn breach(&mut self, t: Ms, rule: Rule, text: String) {
+        self.breaches.push(Breach { t, rule, text });
+    }
+
+    fn memory(&self, node: usize) -> usize {
+        self.memories.get(&node).copied().unwrap_or(0)
+    }
+
+    fn take(&mut self, history: &History, t: Ms, event: &Event) {
+        let terms = &history.terms;
+        match event {
+            Event::Asked { n, class, repeats } => {
+                self.keys.insert(*n, (repeats.unwrap_or(*n), *class));
+            }
+            Event::Wrote { txn, n, node, front, due } => {
+                let taken = Try {
+                    n: *n,
+                    node: *node,
+                    front: *front,
+                    wrote: t,
+                    due: *due,
+                    answered: None,
+                    withdrew: None,
+                    dropped: None,
+                    began: None,
+                };
+                self.tries.insert(*txn, taken);
+            }
+            Event::Answered { txn, kind } => self.answered(terms.once, t, *txn, kind),
+            Event::Withdrew { txn } => self.with(*txn, |taken| taken.withdrew = Some(t)),
+            Event::Dropped { txn, why } => self.with(*txn, |taken| taken.dropped = Some((t, *why))),
+            Event::Stray { node, txn: Some(txn), .. } => {
+                self.breach(
+                    t,
+                    Rule::AnsweredTwice,
+                    format!("try {txn:016x} at n{} is answered again", node + 1),
+                );
+            }
+            Event::Stray { node, txn: None, text } => {
+                self.breach(t, Rule::Lost, format!("n{} says what is no answer: {text}", node + 1));
+            }
+            Event::Began { txn, node } => self.began(history, t, *txn, *node),
+            Event::Ended { txn, node, result: Some(result) } => {
+                let Some(key) = self.key_of(*txn) else { return };
+                let memory = self.memory(*node);
+                self.results.entry(key).or_default().push((*node, memory, result.clone()));
+            }
+            Event::Ended { result: None, .. } | Event::Called { .. } | Event::Connected { .. } => {}
+            Event::Spoilt { node, text } => self.breach(t, Rule::Spoilt, format!("n{}: {text}", node + 1)),
+            Event::Up { node, .. } => {
+                self.excuses.down.entry(*node).or_default().set(t, false);
+                self.notices.remove(node);
+            }
+            Event::Notice { node } => {
+                self.notices.insert(*node, t);
+            }
+            Event::Down { node, way } => {
+                self.excuses.down.entry(*node).or_default().set(t, true);
+                match way {
+                    Way::Crashed(status) => {
+                        self.breach(t, Rule::Crashed, format!("n{} ended by itself: {status}", node + 1));
+                    }
+                    Way::Overstayed => {
+                        self.breach(
+                            t,
+                            Rule::LimitPassed,
+                            format!("n{} was still there when its time to leave was over", node + 1),
+                        );
+                    }
+                    Way::Killed | Way::Left => {}
+                }
+            }
+            Event::Wiped { node } => *self.memories.entry(*node).or_default() += 1,
+            Event::Still { node, still } => self.excuses.still.entry(*node).or_default().set(t, *still),
+            Event::Disturbed { node, front, on } => {
+                self.excuses.disturbed.entry((*node, *front)).or_default().set(t, *on);
+            }
+            Event::Sample { node, rss_kb, files, .. } => {
+                self.limit(t, *node, "memory, KB", *rss_kb, terms.memory_kb);
+                self.limit(t, *node, "descriptors", *files, terms.sockets);
+            }
+            Event::Fell { node, text } => {
+                self.breach(
+                    t,
+                    Rule::LimitPassed,
+                    format!("the interpreter of n{} has died: {text}", node + 1),
+                );
+            }
+            Event::Late { by } => self.excuses.late.0.push((t - by, t)),
+            Event::Over { .. } | Event::Fault { .. } => {}
+        }
+    }
+
+    fn with(&mut self, txn: u64, change: impl FnOnce(&mut Try)) {
+        if let Some(taken) = self.tries.get_mut(&txn) {
+            change(taken);
+        }
+    }
+
+    fn key_of(&self, txn: u64) -> Option<usize> {
+        let n = self.tries.get(&txn)?.n;
+        Some(self.keys.get(&n).map_or(n, |(key, _)| *key))
+    }
+
+    /// A limit that is passed is one breach, however long it stays passed.
+    fn limit(&mut self, t: Ms, node: usize, what: &'static str, value: u64, most: u64) {
+        if value > most && self.passed.insert((node, what), ()).is_none() {
+            self.breach(t, Rule::LimitPassed, format!("n{}: {what}: {value} of {most}", node + 1));
+        }
+    }
+
+    fn answered(&mut self, once: Once, t: Ms, txn: u64, kind: &Kind) {
+        let Some(taken) = self.tries.get(&txn) else { return };
+        let (node, began) = (taken.node, taken.began);
+        if taken.answered.is_some() {
+            return self.breach(
+                t,
+                Rule::AnsweredTwice,
+                format!("try {txn:016x} at n{} is answered again", node + 1),
+            );
+        }
+        match kind {
+            Kind::Refused { .. } if began.is_some() => {
+                self.breach(
+                    t,
+                    Rule::RefusedAndRan,
+                    format!("try {txn:016x} at n{} had run when it was refused", node + 1),
+                );
+            }
+            Kind::Served(result) => {
+                let (key, memory) = (self.key_of(txn), self.memory(node));
+                let made = |(at, of, made): &(usize, usize, String)| {
+                    made == result && (once == Once::Fleet || (*at == node && *of == memory))
+                };
+                let runs = key.and_then(|key| self.results.get(&key));
+                if !runs.is_some_and(|runs| runs.iter().any(made)) {
+                    self.breach(
+                        t,
+                        Rule::ForeignResult,
+                        format!(
+                            "try {txn:016x} at n{} got {result:?}, which no run of its key made there",
+                            node + 1
+                        ),
+                    );
+                }
+            }
+            _ => {}
+        }
+        self.with(txn, |taken| taken.answered = Some((t, kind.clone())));
+    }
+
+    fn began(&mut self, history: &History, t: Ms, txn: u64, node: usize) {
+        let Some(taken) = self.tries.get_mut(&txn) else {
+            return self.breach(
+                t,
+                Rule::Spoilt,
+                format!("n{} runs {txn:016x}, which was never written", node + 1),
+            );
+        };
+        taken.began = Some(t);
+        let (wrote, n, refused) =
+            (taken.wrote, taken.n, matches!(taken.answered, Some((_, Kind::Refused { .. }))));
+        if refused {
+            self.breach(
+                t,
+                Rule::RefusedAndRan,
+                format!("try {txn:016x} at n{} runs after it was refused", node + 1),
+            );
+        }
+        let terms = &history.terms;
+        if self.notices.get(&node).is_some_and(|notice| wrote > notice + terms.drain_grace + terms.slack) {
+            self.breach(
+                t,
+                Rule::RunAfterNotice,
+                format!("try {txn:016x} came to n{} too long after the notice to leave", node + 1),
+            );
+        }
+        let Some((key, class)) = self.keys.get(&n).copied() else { return };
+        let Some(window) = terms.classes.get(class).map(|class| class.window).filter(|window| *window > 0.0)
+        else {
+            return;
+        };
+        let memory = self.memory(node);
+        let runs = self.runs.entry(key).or_default();
+        let within = |run: &&Run| wrote <= run.door + window;
+        let here = runs.iter().filter(within).find(|run| run.node == node && run.memory == memory);
+        let anywhere = runs.iter().find(within).map(|run| (run.txn, run.node, run.at));
+        let here = here.map(|run| run.txn);
+        runs.push(Run { txn, node, memory, door: wrote, at: t });
+        if let Some(first) = here {
+            self.breach(
+                t,
+                Rule::RunTwice,
+                format!(
+                    "the key of request {key} runs again at n{}: {first:016x}, then {txn:016x}",
+                    node + 1
+                ),
+            );
+        }
+        if let Some((first, at, when)) = anywhere {
+            self.twice_in_fleet += 1;
+            if history.terms.once == Once::Fleet {
+                let text = format!("the key of request {key} runs at n{} ({txn:016x}), and did at n{} at {when:.0} ms ({first:016x})", node + 1, at + 1);
+                self.breach(t, Rule::RunTwiceInFleet, text);
+            }
+        }
+    }
+
+    fn finish(mut self, history: &History) -> Verdict {
+        let mut excused = 0;
+        let end = history.seen.last().map_or(0.0, |seen| seen.t);
+        let tries = std::mem::take(&mut self.tries);
+        for (txn, taken) in &tries {
+            let by = taken.due + history.terms.slack;
+            let answered = taken.answered.as_ref().is_some_and(|(at, _)| *at <= by);
+            let told = taken.withdrew.is_some_and(|at| at <= by);
+            let crossed = matches!(taken.dropped, Some((_, Drop::Crossed)));
+            // A new connection that is closed, having run nothing, has failed; nothing is lost.
+            let closed = matches!(taken.dropped, Some((_, Drop::Fresh))) && taken.began.is_none();
+            if answered || told || crossed || closed || by > end {
+                continue;
+            }
+            let to = taken.dropped.map_or(by, |(at, _)| at.min(by));
+            if self.excuses.hold(taken, to) {
+                excused += 1;
+                continue;
+            }
+            let late = taken
+                .answered
+                .as_ref()
+                .map_or("none ever came".into(), |(at, _)| format!("one came {:.0} ms late", at - taken.due));
+            let text = format!(
+                "try {txn:016x} at n{}, written at {:.0} ms, got no answer by its due time: {late}",
+                taken.node + 1,
+                taken.wrote
+            );
+            self.breach(by, Rule::Lost, text);
+        }
+        self.breaches.sort_by(|a, b| a.t.total_cmp(&b.t));
+        Verdict {
+            breaches: self.breaches,
+            written: tries.len(),
+            excused,
+            twice_in_fleet: self.twice_in_fleet,
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::history::{ClassTerms, Seen, Terms};
+
+    fn terms(once: Once) -> Terms {
+        let class = |name: &str, window| ClassTerms {
+            name: name.into(),
+            aim: 500.0,
+            deadline: 1000.0,
+            window,
+            worth: 1.0,
+            late_worth: 0.0,
+            skip_worth: 0.0,
+        };
+        Terms {
+            scenario: "x".into(),
+            seed: 1,
+            seconds: 10.0,
+            nodes: 2,
+            classes: vec![class("quote", 0.0), class("book", 5000.0)],
+            once,
+            slack: 150.0,
+            drain_grace: 2000.0,
+            sockets: 100,
+            memory_kb: 1000,
+        }
+    }
+
+    fn asked(n: usize, class: usize, repeats: Option<usize>) -> Event {
+        Event::Asked { n, class, repeats }
+    }
+
+    fn wrote(txn: u64, n: usize, node: usize, due: Ms) -> Event {
+        Event::Wrote { txn, n, node, front: 0, due }
+    }
+
+    fn ended(txn: u64, node: usize, result: &str) -> Event {
+        Event::Ended { txn, node, result: Some(result.into()) }
+    }
+
+    fn served(txn: u64, result: &str) -> Event {
+        Event::Answered { txn, kind: Kind::Served(result.into()) }
+    }
+
+    fn refused(txn: u64) -> Event {
+        Event::Answered { txn, kind: Kind::Refused { later: None, giveup: false } }
+    }
+
+    fn broken_in(once: Once, events: Vec<(Ms, Event)>) -> Vec<Rule> {
+        let mut seen: Vec<Seen> = events.into_iter().map(|(t, what)| Seen { t, what }).collect();
+        seen.push(Seen { t: 20_000.0, what: Event::Fault { text: String::new(), until: 0.0 } });
+        let verdict = check(&History { terms: terms(once), seen });
+        verdict.breaches.into_iter().map(|breach| breach.rule).collect()
+    }
+
+    fn broken(events: Vec<(Ms, Event)>) -> Vec<Rule> {
+        broken_in(Once::Node, events)
+    }
+
+    /// A booking that is served as it should be.
+    fn booked() -> Vec<(Ms, Event)> {
+        vec![
+            (0.0, asked(0, 1, None)),
+            (0.0, wrote(1, 0, 0, 1000.0)),
+            (1.0, Event::Began { txn: 1, node: 0 }),
+            (50.0, ended(1, 0, "r1")),
+            (51.0, served(1, "r1")),
+        ]
+    }
+
+    fn then(more: Vec<(Ms, Event)>) -> Vec<(Ms, Event)> {
+        booked().into_iter().chain(more).collect()
+    }
+
+    #[test]
+    fn what_keeps_the_rules_breaks_none() {
+        assert_eq!(broken(booked()), []);
+        // A repeat gets the first one's result; another after the window runs again.
+        let repeat = vec![
+            (100.0, asked(1, 1, Some(0))),
+            (100.0, wrote(2, 1, 0, 1100.0)),
+            (101.0, served(2, "r1")),
+            (9000.0, asked(2, 1, Some(0))),
+            (9000.0, wrote(3, 2, 0, 10_000.0)),
+            (9001.0, Event::Began { txn: 3, node: 0 }),
+            (9050.0, ended(3, 0, "r3")),
+            (9051.0, served(3, "r3")),
+        ];
+        assert_eq!(broken(then(repeat)), []);
+    }
+
+    #[test]
+    fn a_request_without_an_answer_in_time_is_lost_unless_the_rig_was_in_the_way() {
+        let open = |more: Vec<(Ms, Event)>| {
+            let begin = vec![(0.0, asked(0, 0, None)), (0.0, wrote(1, 0, 0, 1000.0))];
+            broken(begin.into_iter().chain(more).collect())
+        };
+        assert_eq!(open(vec![]), [Rule::Lost]);
+        assert_eq!(open(vec![(1200.0, refused(1))]), [Rule::Lost], "too late");
+        assert_eq!(open(vec![(1100.0, refused(1))]), []);
+        assert_eq!(open(vec![(900.0, Event::Withdrew { txn: 1 })]), []);
+        assert_eq!(open(vec![(500.0, Event::Down { node: 0, way: Way::Killed })]), []);
+        assert_eq!(
+            open(vec![(500.0, Event::Down { node: 1, way: Way::Killed })]),
+            [Rule::Lost],
+            "another node's end is none"
+        );
+        assert_eq!(
+            open(vec![
+                (500.0, Event::Still { node: 0, still: true }),
+                (600.0, Event::Still { node: 0, still: false })
+            ]),
+            []
+        );
+        let disturbed = |front| {
+            vec![
+                (10.0, Event::Disturbed { node: 0, front, on: true }),
+                (20.0, Event::Disturbed { node: 0, front, on: false }),
+            ]
+        };
+        assert_eq!((open(disturbed(Some(0))), open(disturbed(None))), (vec![], vec![]));
+        assert_eq!(open(disturbed(Some(1))), [Rule::Lost]);
+        assert_eq!(open(vec![(700.0, Event::Late { by: 100.0 })]), []);
+        for (why, broken) in [(Drop::Crossed, 0), (Drop::Fresh, 0), (Drop::Used, 1)] {
+            assert_eq!(open(vec![(5.0, Event::Dropped { txn: 1, why })]).len(), broken, "{why:?}");
+        }
+        let ran =
+            vec![(4.0, Event::Began { txn: 1, node: 0 }), (5.0, Event::Dropped { txn: 1, why: Drop::Fresh })];
+        assert_eq!(open(ran), [Rule::Lost], "it ran");
+        assert_eq!(
+            open(vec![(5.0, refused(1)), (6.0, Event::Stray { node: 0, txn: None, text: "noise".into() })]),
+            [Rule::Lost]
+        );
+    }
+
+    #[test]
+    fn a_second_answer_is_told_wherever_it_comes() {
+        assert_eq!(broken(then(vec![(60.0, served(1, "r1"))])), [Rule::AnsweredTwice]);
+        let stray = Event::Stray { node: 0, txn: Some(1), text: String::new() };
+        assert_eq!(broken(then(vec![(60.0, stray)])), [Rule::AnsweredTwice]);
+    }
+
+    #[test]
+    fn a_key_that_runs_again_at_its_node_is_told_also_after_a_restart_but_not_after_its_memory_was_lost() {
+        let again = |before: Vec<(Ms, Event)>, node: usize| {
+            let run = vec![
+                (300.0, asked(1, 1, Some(0))),
+                (300.0, wrote(2, 1, node, 1300.0)),
+                (301.0, Event::Began { txn: 2, node }),
+                (350.0, ended(2, node, "r2")),
+                (351.0, served(2, "r2")),
+            ];
+            before.into_iter().chain(run).collect::<Vec<_>>()
+        };
+        assert_eq!(broken(then(again(vec![], 0))), [Rule::RunTwice]);
+        let restart = || {
+            vec![
+                (100.0, Event::Down { node: 0, way: Way::Killed }),
+                (200.0, Event::Up { node: 0, cold: true }),
+            ]
+        };
+        assert_eq!(broken(then(again(restart(), 0))), [Rule::RunTwice]);
+        let lost = restart().into_iter().chain([(150.0, Event::Wiped { node: 0 })]).collect();
+        assert_eq!(broken(then(again(lost, 0))), []);
+        assert_eq!(broken(then(again(vec![], 1))), []);
+        assert_eq!(broken_in(Once::Fleet, then(again(vec![], 1))), [Rule::RunTwiceInFleet]);
+    }
+
+    #[test]
+    fn a_refusal_of_what_ran_or_runs_later_is_told() {
+        let begin = || vec![(0.0, asked(0, 0, None)), (0.0, wrote(1, 0, 0, 1000.0))];
+        let with = |more: Vec<(Ms, Event)>| broken(begin().into_iter().chain(more).collect());
+        assert_eq!(
+            with(vec![(1.0, Event::Began { txn: 1, node: 0 }), (9.0, refused(1))]),
+            [Rule::RefusedAndRan]
+        );
+        assert_eq!(
+            with(vec![(1.0, refused(1)), (9.0, Event::Began { txn: 1, node: 0 })]),
+            [Rule::RefusedAndRan]
+        );
+    }
+
+    #[test]
+    fn what_comes_too_long_after_the_notice_to_leave_must_not_run() {
+        let run = |at: Ms| {
+            broken(vec![
+                (0.0, Event::Notice { node: 0 }),
+                (at, asked(0, 0, None)),
+                (at, wrote(1, 0, 0, at + 1000.0)),
+                (at + 1.0, Event::Began { txn: 1, node: 0 }),
+                (at + 2.0, ended(1, 0, "r")),
+                (at + 3.0, served(1, "r")),
+            ])
+        };
+        assert_eq!(run(1900.0), []);
+        assert_eq!(run(2500.0), [Rule::RunAfterNotice]);
+    }
+
+    #[test]
+    fn a_result_that_no_run_of_the_key_made_is_told() {
+        let mut other = booked();
+        other[4].1 = served(1, "r9");
+        assert_eq!(broken(other), [Rule::ForeignResult]);
+        let elsewhere =
+            vec![(100.0, asked(1, 1, Some(0))), (100.0, wrote(2, 1, 1, 1100.0)), (101.0, served(2, "r1"))];
+        assert_eq!(broken(then(elsewhere.clone())), [Rule::ForeignResult], "another node's");
+        assert_eq!(broken_in(Once::Fleet, then(elsewhere)), [], "the fleet's is as good");
+    }
+
+    #[test]
+    fn limits_crashes_and_spoilt_commands_are_told() {
+        let sample = |rss_kb, files| Event::Sample { node: 0, rss_kb, files, cpu_ms: 1 };
+        assert_eq!(broken(vec![(1.0, sample(900, 90))]), []);
+        assert_eq!(
+            broken(vec![(1.0, sample(1100, 90)), (2.0, sample(1200, 90))]),
+            [Rule::LimitPassed],
+            "told once"
+        );
+        assert_eq!(broken(vec![(1.0, sample(900, 101))]), [Rule::LimitPassed]);
+        assert_eq!(broken(vec![(1.0, Event::Fell { node: 0, text: "x".into() })]), [Rule::LimitPassed]);
+        assert_eq!(broken(vec![(1.0, Event::Down { node: 0, way: Way::Overstayed })]), [Rule::LimitPassed]);
+        assert_eq!(
+            broken(vec![(1.0, Event::Down { node: 0, way: Way::Crashed("1".into()) })]),
+            [Rule::Crashed]
+        );
+        assert_eq!(broken(vec![(1.0, Event::Spoilt { node: 0, text: "x".into() })]), [Rule::Spoilt]);
+        assert_eq!(broken(vec![(1.0, Event::Began { txn: 7, node: 0 })]), [Rule::Spoilt], "never written");
+    }
+}
--- /dev/null
+++ b/rig/src/clock.rs
@@ -0,0 +1,45 @@
+//! Time in a play: milliseconds since the rig's start, and the Unix clock that goes with them.
+
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use tokio::time::Instant;
+
+use crate::model::Ms;
+
+/// The clock of one play.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    unix: Duration,
+}
+
+impl Clock {
+    /// One that begins now.
+    pub fn begin() -> Clock {
+        Clock { start: Instant::now(), unix: unix_now() }
+    }
+
+    /// Now.
+    pub fn now(&self) -> Ms {
+        self.start.elapsed().as_secs_f64() * 1000.0
+    }
+
+    /// A moment on the Unix clock, in milliseconds.
+    pub fn unix_ms(&self, at: Ms) -> u64 {
+        (self.unix.as_secs_f64() * 1000.0 + at).max(0.0) as u64
+    }
+
+    /// Waits until then.
+    pub async fn until(&self, at: Ms) {
+        if at.is_finite() {
+            tokio::time::sleep_until(self.start + Duration::from_secs_f64(at.max(0.0) / 1000.0)).await;
+        } else {
+            std::future::pending().await
+        }
+    }
+}
+
+/// The Unix clock.
+pub fn unix_now() -> Duration {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+}
--- /dev/null
+++ b/rig/src/floor.rs
@@ -0,0 +1,105 @@
+//! How fast a fleet could be back if warming up were all that kept it: what its cores can do, moment by moment, by the
+//! plan alone.
+
+use crate::model::vm::Make;
+use crate::model::Ms;
+use crate::plan::{At, Plan};
+use crate::scenario::{Scenario, What};
+
+/// Capacity is looked at this often.
+const STEP: Ms = 50.0;
+/// Service is back where this part of what was asked for, or of what warm cores can do, can be done again.
+const BACK: f64 = 0.9;
+
+/// A stretch in which a node does less.
+struct Dent {
+    node: usize,
+    from: Ms,
+    until: Ms,
+    factor: f64,
+    /// It is cold when that is over.
+    cold: bool,
+}
+
+/// Seconds from the first fault until the cores can do enough again and go on to; none without faults that take cores
+/// away, and none where they never can.
+pub fn floor(scenario: &Scenario, plan: &Plan) -> Option<f64> {
+    let dents = dents(scenario, plan);
+    let first = dents.iter().map(|dent| dent.from).fold(f64::INFINITY, f64::min);
+    if !first.is_finite() {
+        return None;
+    }
+    let makes: Vec<Make> = plan.speeds.iter().map(|speed| Make::of(&scenario.fleet, *speed)).collect();
+    let capacity =
+        |at: Ms| -> f64 { makes.iter().enumerate().map(|(node, make)| able(make, node, at, &dents)).sum() };
+    let whole: f64 = makes.iter().map(|make| make.cores * make.speed).sum();
+    let asked = scenario.rate() / 1000.0 * (scenario.mean_work() + scenario.fleet.read_ms);
+    let needed = BACK * asked.min(whole);
+    let end = scenario.seconds * 1000.0;
+    let steps = ((end - first) / STEP).ceil().max(0.0) as usize;
+    let bad = (0..steps).rfind(|step| capacity(first + *step as f64 * STEP) < needed);
+    match bad {
+        Some(step) if step + 1 >= steps => None,
+        Some(step) => Some((step + 1) as f64 * STEP / 1000.0),
+        None => Some(0.0),
+    }
+}
+
+fn dents(scenario: &Scenario, plan: &Plan) -> Vec<Dent> {
+    let mut dents = Vec::new();
+    for strike in &plan.strikes {
+        // What waits for an event has no time in the plan.
+        let At::Time(at) = strike.at else { continue };
+        let (from, fault) = (at + strike.after, &strike.fault);
+        let lasts = fault.for_s.map_or(f64::INFINITY, |s| s * 1000.0);
+        let down = fault.down_s.map_or(f64::INFINITY, |s| s * 1000.0);
+        let (until, factor, cold) = match fault.what {
+            What::Kill | What::Leave => (from + down, 0.0, true),
+            What::Stop | What::Partition => (from + lasts, 0.0, false),
+            What::Slow => (from + lasts, fault.factor, false),
+            What::Link | What::Below | What::Members | What::Fronts | What::Reload => continue,
+        };
+        dents.extend(strike.whom.iter().map(|node| Dent { node: *node, from, until, factor, cold }));
+    }
+    if scenario.fleet.cold {
+        let cold = |node| Dent { node, from: 0.0, until: 0.0, factor: 1.0, cold: true };
+        dents.extend((0..scenario.fleet.nodes).map(cold));
+    }
+    dents
+}
+
+fn able(make: &Make, node: usize, at: Ms, dents: &[Dent]) -> f64 {
+    let mine = || dents.iter().filter(|dent| dent.node == node && dent.from <= at);
+    let factor = mine().filter(|dent| at < dent.until).map(|dent| dent.factor).fold(1.0, f64::min);
+    let since = mine()
+        .filter(|dent| dent.cold && dent.until <= at)
+        .map(|dent| dent.until)
+        .fold(f64::NEG_INFINITY, f64::max);
+    let warmth = if since.is_finite() { make.warmth(at - since) } else { 1.0 };
+    make.cores * make.speed * factor * warmth
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::plan::plan;
+
+    fn floor_of(load: f64, faults: &str) -> Option<f64> {
+        let text = format!(
+            "name = 'x'\nseconds = 60\n[fleet]\nnodes = 10\nwarm_from = 0.2\nwarm_s = 10\n[[class]]\nname = 'quote'\nshare = 1\nwork_ms = 100\naim_ms = 1000\ndeadline_ms = 3000\n[load]\nload = {load}\n{faults}"
+        );
+        let scenario = Scenario::parse(&text, &[]).unwrap();
+        let drawn = plan(&scenario, 1);
+        floor(&scenario, &drawn)
+    }
+
+    #[test]
+    fn warming_cores_are_enough_once_they_reach_nine_tenths_of_what_is_asked() {
+        let kill = "[[fault]]\nat_s = 10\nwhat = 'kill'\npart = 0.5\ndown_s = 1.0\n";
+        // Half stays; the rest is to reach 0.8 of its speed, three quarters of the way from 0.2: 7.5 s after 1 s.
+        assert!((floor_of(1.0, kill).unwrap() - 8.5).abs() < 0.2, "{:?}", floor_of(1.0, kill));
+        assert_eq!(floor_of(0.5, kill), Some(0.0), "the other half is enough");
+        assert_eq!(floor_of(0.5, ""), None);
+        assert_eq!(floor_of(1.0, "[[fault]]\nat_s = 10\nwhat = 'kill'\npart = 0.5\n"), None, "never");
+    }
+}
--- /dev/null
+++ b/rig/src/lib.rs
@@ -0,0 +1,26 @@
+//! A rig for fleets of the real program: it starts many processes, puts relays with faults between them, plays all that
+//! they talk to, sends load, and says afterwards which rule broke. `docs/rig.md` is its page.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod charts;
+pub mod check;
+pub mod clock;
+pub mod experiment;
+pub mod figures;
+pub mod floor;
+pub mod history;
+pub mod machine;
+pub mod model;
+pub mod mutant;
+pub mod plan;
+pub mod play;
+pub mod predict;
+pub mod process;
+pub mod relay;
+pub mod report;
+pub mod scenario;
+pub mod settings;
+pub mod stand;
+pub mod wire;
+pub mod world;
--- /dev/null
+++ b/rig/src/model/members.rs
@@ -0,0 +1,106 @@
+//! The membership service: who is listed, and who was at a time before, as front ends see it late.
+
+use super::Ms;
+
+#[derive(Debug, Clone, Default)]
+struct Entry {
+    /// When it last reported.
+    heard: Option<Ms>,
+    listed: bool,
+}
+
+/// The service.
+#[derive(Debug, Clone)]
+pub struct Members {
+    lapse: Ms,
+    entries: Vec<Entry>,
+    /// Every change, in order: when, which node, whether it is listed from then on.
+    changes: Vec<(Ms, usize, bool)>,
+    deaf: bool,
+}
+
+impl Members {
+    /// A service that drops who has not reported for so long.
+    pub fn new(nodes: usize, lapse: Ms) -> Members {
+        Members { lapse, entries: vec![Entry::default(); nodes], changes: Vec::new(), deaf: false }
+    }
+
+    /// A node reports that it is up, or that it leaves.
+    pub fn report(&mut self, now: Ms, node: usize, up: bool) {
+        if self.deaf {
+            return;
+        }
+        self.entries[node].heard = up.then_some(now);
+        self.list(now, node, up);
+    }
+
+    /// Hears nobody from now on, or hears again; no entry lapses meanwhile.
+    pub fn deaf(&mut self, now: Ms, deaf: bool) {
+        self.advance(now);
+        if self.deaf && !deaf {
+            self.entries.iter_mut().filter(|entry| entry.listed).for_each(|entry| entry.heard = Some(now));
+        }
+        self.deaf = deaf;
+    }
+
+    fn list(&mut self, at: Ms, node: usize, listed: bool) {
+        if self.entries[node].listed != listed {
+            self.entries[node].listed = listed;
+            self.changes.push((at, node, listed));
+        }
+    }
+
+    /// Lets time pass: who is silent drops off.
+    pub fn advance(&mut self, now: Ms) {
+        if self.deaf {
+            return;
+        }
+        for node in 0..self.entries.len() {
+            if let Some(over) =
+                self.entries[node].heard.map(|heard| heard + self.lapse).filter(|over| *over <= now)
+            {
+                self.entries[node].heard = None;
+                self.list(over, node, false);
+            }
+        }
+    }
+
+    /// Whether each node was listed at a time.
+    pub fn listed_at(&mut self, now: Ms, at: Ms) -> Vec<bool> {
+        self.advance(now);
+        let mut listed = vec![false; self.entries.len()];
+        for (_, node, up) in self.changes.iter().filter(|(when, ..)| *when <= at) {
+            listed[*node] = *up;
+        }
+        listed
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn who_is_silent_lapses_and_lists_are_seen_late() {
+        let mut members = Members::new(2, 3000.0);
+        members.report(0.0, 0, true);
+        members.report(1000.0, 1, true);
+        members.report(2500.0, 1, true);
+        assert_eq!(members.listed_at(4000.0, 4000.0), [false, true]);
+        assert_eq!(members.listed_at(4000.0, 2900.0), [true, true], "seen late");
+        members.report(4100.0, 1, false);
+        assert_eq!(members.listed_at(4100.0, 4100.0), [false, false]);
+    }
+
+    #[test]
+    fn while_it_hears_nobody_no_entry_lapses() {
+        let mut members = Members::new(1, 3000.0);
+        members.report(0.0, 0, true);
+        members.deaf(1000.0, true);
+        members.report(2000.0, 0, false);
+        assert_eq!(members.listed_at(9000.0, 9000.0), [true]);
+        members.deaf(9000.0, false);
+        assert_eq!(members.listed_at(11_000.0, 11_000.0), [true]);
+        assert_eq!(members.listed_at(12_500.0, 12_500.0), [false]);
+    }
+}
--- /dev/null
+++ b/rig/src/model/vm.rs
@@ -0,0 +1,531 @@
+//! An interpreter with cores of its own. All that runs shares them; past a crowd less is done in total. A fresh one
+//! is slow and warms up. What runs can be paused and keeps its memory. It dies of too much on its cores or in its
+//! memory, as the platform's rules say.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use super::{Ms, MOMENT};
+use crate::scenario::Fleet;
+
+/// The crowd that kills is a mean over so long.
+const OVERLOAD_FOR: Ms = 2000.0;
+/// How busy the cores are is a mean over so long.
+const BUSY_OVER: Ms = 500.0;
+/// A request counts against the memory so long after it was written, or from its run.
+const UNCOUNTED: Ms = 100.0;
+/// While it warms up, its speed is taken anew this often.
+const WARMING_STEP: Ms = 25.0;
+/// More on the cores than this many times the cores, when warm, in the mean, is death.
+pub const FALL_MULTIPLE: f64 = 8.0;
+
+/// What it is made of.
+#[derive(Debug, Clone)]
+pub struct Make {
+    /// Cores.
+    pub cores: f64,
+    /// Speed of each when warm.
+    pub speed: f64,
+    /// The part of it that a fresh one has.
+    pub warm_from: f64,
+    /// When it is warm.
+    pub warm_ms: Ms,
+    /// Past so many on the cores, for each core, less is done in total.
+    pub thrash_at: f64,
+    /// What is left of it at twice that crowd.
+    pub thrash: f64,
+    /// Memory.
+    pub memory_kb: f64,
+    /// Memory of a running request, as a multiple of one held.
+    pub run_factor: f64,
+}
+
+impl Make {
+    /// An interpreter of a fleet, whose cores have this speed.
+    pub fn of(fleet: &Fleet, speed: f64) -> Make {
+        Make {
+            cores: f64::from(fleet.cores),
+            speed,
+            warm_from: fleet.warm_from,
+            warm_ms: fleet.warm_s * 1000.0,
+            thrash_at: fleet.thrash_at,
+            thrash: fleet.thrash,
+            memory_kb: fleet.memory_kb,
+            run_factor: fleet.run_factor,
+        }
+    }
+
+    /// The part of its speed that one has so long after a cold start.
+    pub fn warmth(&self, after: Ms) -> f64 {
+        if after >= self.warm_ms {
+            return 1.0;
+        }
+        self.warm_from + (1.0 - self.warm_from) * (after / self.warm_ms).max(0.0)
+    }
+}
+
+/// One request to run.
+#[derive(Debug, Clone, Copy)]
+pub struct Work {
+    /// Its id.
+    pub txn: u64,
+    /// Work on a core of speed 1.
+    pub work: Ms,
+    /// Whether it makes a call half way through.
+    pub calls: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Stage {
+    /// On the cores.
+    Running,
+    /// Off them, with its progress.
+    Paused,
+    /// It waits for its call.
+    AtCall,
+}
+
+#[derive(Debug, Clone)]
+struct Run {
+    left: Ms,
+    /// What is left once the call is made; none after it, or without one.
+    call_at: Option<Ms>,
+    stage: Stage,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Held {
+    kb: f64,
+    counts_from: Ms,
+}
+
+/// How many ran on the cores and how much of them was busy from `at` on, and the sums of both over all time before.
+/// The sums make a mean over a stretch cheap, however much happened in it.
+#[derive(Debug, Clone, Copy)]
+struct Reading {
+    at: Ms,
+    values: [f64; 2],
+    sums: [f64; 2],
+}
+
+impl Reading {
+    fn sum(&self, which: usize, until: Ms) -> f64 {
+        self.sums[which] + self.values[which] * (until - self.at)
+    }
+}
+
+/// Positions in a reading.
+const RUNS: usize = 0;
+const BUSY: usize = 1;
+
+/// What has happened.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Happened {
+    /// A run is over.
+    Done(u64),
+    /// A run was stopped, or came to a call when its request was over.
+    Aborted(u64),
+    /// A run waits for its call.
+    AtCall(u64),
+    /// It has died.
+    Fell(&'static str),
+}
+
+/// The interpreter.
+#[derive(Debug, Clone)]
+pub struct Vm {
+    make: Make,
+    /// When it started, if cold; one that was up for long has none.
+    cold_since: Option<Ms>,
+    /// A fault's part of the speed.
+    pub factor: f64,
+    still: bool,
+    at: Ms,
+    runs: BTreeMap<u64, Run>,
+    /// Reading and connecting, which take the cores as well.
+    chores: Vec<Ms>,
+    held: BTreeMap<u64, Held>,
+    /// How many were on the cores, and how much of the cores was busy, from when on.
+    crowd: VecDeque<Reading>,
+    fallen: bool,
+}
+
+impl Vm {
+    /// One that starts now.
+    pub fn new(make: Make, now: Ms, cold: bool) -> Vm {
+        Vm {
+            make,
+            cold_since: cold.then_some(now),
+            factor: 1.0,
+            still: false,
+            at: now,
+            runs: BTreeMap::new(),
+            chores: Vec::new(),
+            held: BTreeMap::new(),
+            crowd: VecDeque::from([Reading { at: now, values: [0.0; 2], sums: [0.0; 2] }]),
+            fallen: false,
+        }
+    }
+
+    /// Whether it was cold when it started.
+    pub fn cold(&self) -> bool {
+        self.cold_since.is_some()
+    }
+
+    /// Stands still, or goes on. Time passes and nothing is done.
+    pub fn stand_still(&mut self, now: Ms, still: bool) -> Vec<Happened> {
+        let happened = self.advance(now);
+        self.still = still;
+        happened
+    }
+
+    /// A request was written to the node.
+    pub fn hold(&mut self, now: Ms, txn: u64, kb: f64) {
+        self.held.insert(txn, Held { kb, counts_from: now + UNCOUNTED });
+    }
+
+    /// A request is over for its caller: answered or given up. What is paused or waits for its call ends with it.
+    pub fn over(&mut self, now: Ms, txn: u64) -> Vec<Happened> {
+        let mut happened = self.advance(now);
+        self.held.remove(&txn);
+        if self.runs.get(&txn).is_some_and(|run| run.stage != Stage::Running) {
+            self.runs.remove(&txn);
+            happened.push(Happened::Aborted(txn));
+        }
+        happened
+    }
+
+    /// Whether a request is known and not over.
+    pub fn holds(&self, txn: u64) -> bool {
+        self.held.contains_key(&txn)
+    }
+
+    /// Whether a request runs, is paused or waits for its call.
+    pub fn runs(&self, txn: u64) -> bool {
+        self.runs.contains_key(&txn)
+    }
+
+    /// Begins to run a request, which is held.
+    pub fn run(&mut self, now: Ms, work: Work) -> Vec<Happened> {
+        let happened = self.advance(now);
+        let half = work.work / 2.0;
+        let run = Run { left: work.work, call_at: work.calls.then_some(half), stage: Stage::Running };
+        self.runs.entry(work.txn).or_insert(run);
+        self.count();
+        happened
+    }
+
+    /// Work for reading a request or for a new connection.
+    pub fn chore(&mut self, now: Ms, work: Ms) -> Vec<Happened> {
+        let happened = self.advance(now);
+        if work > 0.0 {
+            self.chores.push(work);
+            self.count();
+        }
+        happened
+    }
+
+    /// Pauses a run; one whose request is over ends.
+    pub fn pause(&mut self, now: Ms, txn: u64) -> Vec<Happened> {
+        let mut happened = self.advance(now);
+        let over = !self.holds(txn);
+        match self.runs.get_mut(&txn) {
+            Some(run) if run.stage == Stage::Running && over => {
+                self.runs.remove(&txn);
+                happened.push(Happened::Aborted(txn));
+            }
+            Some(run) if run.stage == Stage::Running => run.stage = Stage::Paused,
+            _ => {}
+        }
+        self.count();
+        happened
+    }
+
+    /// Takes a paused run up again, or one that waits for its call.
+    pub fn go_on(&mut self, now: Ms, txn: u64) -> Vec<Happened> {
+        let happened = self.advance(now);
+        if let Some(run) = self.runs.get_mut(&txn) {
+            if run.stage == Stage::AtCall {
+                run.call_at = None;
+            }
+            run.stage = Stage::Running;
+        }
+        self.count();
+        happened
+    }
+
+    /// Whether a run waits for its call.
+    pub fn at_call(&self, txn: u64) -> bool {
+        self.runs.get(&txn).is_some_and(|run| run.stage == Stage::AtCall)
+    }
+
+    /// Gauges: the busy part of the cores of late, what wants a core now, the part of the memory in use.
+    pub fn gauges(&self, now: Ms) -> [f64; 3] {
+        let busy = self.mean(now, BUSY_OVER, BUSY);
+        [busy, self.on_cores() as f64, self.memory(now) / self.make.memory_kb]
+    }
+
+    /// Its speed now, as a part of a core of speed 1.
+    pub fn speed(&self, now: Ms) -> f64 {
+        if self.still {
+            return 0.0;
+        }
+        self.make.speed * self.factor * self.cold_since.map_or(1.0, |since| self.make.warmth(now - since))
+    }
+
+    /// When something will happen if nothing is done until then.
+    pub fn next(&self) -> Option<Ms> {
+        if self.still || self.fallen {
+            return None;
+        }
+        let rate = self.rate();
+        let runs = self.runs.values().filter(|run| run.stage == Stage::Running);
+        let lefts = runs.map(|run| run.left - run.call_at.unwrap_or(0.0)).chain(self.chores.iter().copied());
+        let least = lefts.fold(f64::INFINITY, f64::min);
+        if !least.is_finite() || rate <= 0.0 {
+            return None;
+        }
+        let ends = self.at + (least / rate).max(MOMENT);
+        let warming = self.cold_since.is_some_and(|since| self.at - since < self.make.warm_ms);
+        Some(if warming { ends.min(self.at + WARMING_STEP) } else { ends })
+    }
+
+    /// Lets time pass, and tells what happened.
+    pub fn advance(&mut self, now: Ms) -> Vec<Happened> {
+        let mut happened = Vec::new();
+        while let Some(next) = self.next().filter(|next| *next <= now) {
+            self.work_until(next, &mut happened);
+        }
+        self.work_until(now.max(self.at), &mut happened);
+        if let Some(why) = self.falls().filter(|_| !self.fallen) {
+            self.fallen = true;
+            happened.push(Happened::Fell(why));
+        }
+        happened
+    }
+
+    fn work_until(&mut self, until: Ms, happened: &mut Vec<Happened>) {
+        // While it warms up, the speed half way is the mean.
+        let half = Vm::middle(self.at, until);
+        let done = (until - self.at) * self.rate_at(half);
+        self.at = until;
+        let before = self.on_cores();
+        self.chores.iter_mut().for_each(|left| *left -= done);
+        self.chores.retain(|left| *left > MOMENT);
+        let mut ended = Vec::new();
+        for (txn, run) in self.runs.iter_mut().filter(|(_, run)| run.stage == Stage::Running) {
+            run.left -= done;
+            if run.call_at.is_some_and(|at| run.left <= at + MOMENT) {
+                if self.held.contains_key(txn) {
+                    run.stage = Stage::AtCall;
+                    happened.push(Happened::AtCall(*txn));
+                } else {
+                    ended.push(*txn);
+                    happened.push(Happened::Aborted(*txn));
+                }
+            } else if run.left <= MOMENT {
+                ended.push(*txn);
+                happened.push(Happened::Done(*txn));
+            }
+        }
+        for txn in ended {
+            self.runs.remove(&txn);
+        }
+        if self.on_cores() != before {
+            self.count();
+        }
+    }
+
+    fn middle(from: Ms, to: Ms) -> Ms {
+        from + (to - from) / 2.0
+    }
+
+    fn on_cores(&self) -> usize {
+        self.runs.values().filter(|run| run.stage == Stage::Running).count() + self.chores.len()
+    }
+
+    /// What each on the cores gets done in a millisecond.
+    fn rate(&self) -> f64 {
+        self.rate_at(self.at)
+    }
+
+    fn rate_at(&self, now: Ms) -> f64 {
+        let crowd = self.on_cores() as f64 / self.make.cores;
+        let over = ((crowd - self.make.thrash_at) / self.make.thrash_at).clamp(0.0, 1.0);
+        let left = 1.0 - (1.0 - self.make.thrash) * over;
+        self.speed(now) * left * (1.0 / crowd.max(1.0))
+    }
+
+    fn memory(&self, now: Ms) -> f64 {
+        let held =
+            self.held.iter().filter(|(txn, held)| held.counts_from <= now || self.runs.contains_key(txn));
+        held.map(
+            |(txn, held)| if self.runs.contains_key(txn) { held.kb * self.make.run_factor } else { held.kb },
+        )
+        .sum()
+    }
+
+    /// Notes how many are on the cores from now on.
+    fn count(&mut self) {
+        let runs = self.runs.values().filter(|run| run.stage == Stage::Running).count() as f64;
+        let busy = (self.on_cores() as f64 / self.make.cores).min(1.0);
+        let sums =
+            self.crowd.back().map_or([0.0; 2], |last| [RUNS, BUSY].map(|which| last.sum(which, self.at)));
+        self.crowd.push_back(Reading { at: self.at, values: [runs, busy], sums });
+        let old = self.at - OVERLOAD_FOR;
+        while self.crowd.get(1).is_some_and(|second| second.at <= old) {
+            self.crowd.pop_front();
+        }
+    }
+
+    /// The mean of a reading over the last stretch.
+    fn mean(&self, now: Ms, over: Ms, which: usize) -> f64 {
+        let until = |at: Ms| {
+            let after = self.crowd.partition_point(|reading| reading.at <= at);
+            // Before the first reading there was nothing.
+            after.checked_sub(1).and_then(|i| self.crowd.get(i)).map_or(0.0, |reading| reading.sum(which, at))
+        };
+        (until(now) - until(now - over)) / over
+    }
+
+    fn falls(&self) -> Option<&'static str> {
+        let share = self.cold_since.map_or(1.0, |since| self.make.warmth(self.at - since));
+        let most = self.make.cores * (1.0 + (FALL_MULTIPLE - 1.0) * share);
+        if self.mean(self.at, OVERLOAD_FOR, RUNS) > most {
+            return Some("too many on its cores");
+        }
+        (self.memory(self.at) > self.make.memory_kb).then_some("out of memory")
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn make() -> Make {
+        Make {
+            cores: 2.0,
+            speed: 1.0,
+            warm_from: 0.25,
+            warm_ms: 8000.0,
+            thrash_at: 1.5,
+            thrash: 0.5,
+            memory_kb: 1000.0,
+            run_factor: 8.0,
+        }
+    }
+
+    fn work(txn: u64, work: Ms) -> Work {
+        Work { txn, work, calls: false }
+    }
+
+    /// Lets it run to its next end.
+    fn next(vm: &mut Vm) -> (Ms, Vec<Happened>) {
+        loop {
+            let at = vm.next().expect("something runs");
+            let happened = vm.advance(at);
+            if !happened.is_empty() {
+                return (at, happened);
+            }
+        }
+    }
+
+    #[test]
+    fn cores_are_shared_and_a_crowd_gets_less_done() {
+        let mut vm = Vm::new(make(), 0.0, false);
+        for txn in 0..2 {
+            vm.hold(0.0, txn, 1.0);
+            vm.run(0.0, work(txn, 100.0));
+        }
+        let (at, ended) = next(&mut vm);
+        assert!((at - 100.0).abs() < 1e-3 && ended.len() == 2, "two on two cores: {at}");
+        for txn in 10..16 {
+            vm.hold(at, txn, 1.0);
+            vm.run(at, work(txn, 100.0));
+        }
+        // Six on two cores are at twice the crowd of 1.5: half is left of a third.
+        let (end, _) = next(&mut vm);
+        assert!((end - at - 600.0).abs() < 1e-3, "{}", end - at);
+    }
+
+    #[test]
+    fn a_cold_one_does_what_its_warmth_allows() {
+        let mut vm = Vm::new(make(), 0.0, true);
+        vm.hold(0.0, 1, 1.0);
+        vm.run(0.0, work(1, 8000.0));
+        // Over 8 s from a quarter to the whole it does 5,000; the rest at full speed.
+        let (at, _) = next(&mut vm);
+        assert!((at - 11_000.0).abs() < 20.0, "{at}");
+    }
+
+    #[test]
+    fn a_run_waits_for_its_call_and_ends_there_if_its_request_is_over() {
+        let mut vm = Vm::new(make(), 0.0, false);
+        for txn in 1..=2 {
+            vm.hold(0.0, txn, 1.0);
+            vm.run(0.0, Work { txn, work: 100.0, calls: true });
+        }
+        vm.over(10.0, 2);
+        assert_eq!(next(&mut vm), (50.0, vec![Happened::AtCall(1), Happened::Aborted(2)]));
+        assert_eq!(vm.next(), None, "it waits");
+        vm.go_on(80.0, 1);
+        let (at, ended) = next(&mut vm);
+        assert!((at - 130.0).abs() < 1e-3 && ended == [Happened::Done(1)]);
+    }
+
+    #[test]
+    fn a_run_that_waits_for_its_call_ends_with_its_request() {
+        let mut vm = Vm::new(make(), 0.0, false);
+        vm.hold(0.0, 1, 1.0);
+        vm.run(0.0, Work { txn: 1, work: 100.0, calls: true });
+        assert_eq!(vm.advance(60.0), [Happened::AtCall(1)]);
+        assert_eq!(vm.over(70.0, 1), [Happened::Aborted(1)]);
+        assert!(!vm.runs(1));
+    }
+
+    #[test]
+    fn what_is_paused_keeps_its_progress_and_ends_when_its_request_is_over() {
+        let mut vm = Vm::new(make(), 0.0, false);
+        for txn in 1..=2 {
+            vm.hold(0.0, txn, 1.0);
+            vm.run(0.0, work(txn, 100.0));
+            assert!(vm.pause(60.0, txn).is_empty());
+        }
+        vm.go_on(500.0, 1);
+        assert_eq!(vm.over(510.0, 2), [Happened::Aborted(2)]);
+        let (at, _) = next(&mut vm);
+        assert!((at - 540.0).abs() < 1e-3, "{at}");
+    }
+
+    #[test]
+    fn standing_still_nothing_is_done_and_memory_stays() {
+        let mut vm = Vm::new(make(), 0.0, false);
+        vm.hold(0.0, 1, 10.0);
+        vm.run(0.0, work(1, 100.0));
+        vm.stand_still(40.0, true);
+        assert!(vm.next().is_none() && vm.advance(5000.0).is_empty());
+        assert!(vm.gauges(5000.0)[2] > 0.0);
+        vm.stand_still(5000.0, false);
+        assert!((next(&mut vm).0 - 5060.0).abs() < 1e-3);
+    }
+
+    #[test]
+    fn it_dies_of_a_crowd_that_lasts_and_of_memory_and_a_cold_one_of_a_smaller_crowd() {
+        let crowd = |count: u64, cold: bool, until: Ms| {
+            let mut vm = Vm::new(Make { memory_kb: 1e9, ..make() }, 0.0, cold);
+            for txn in 0..count {
+                vm.hold(0.0, txn, 1.0);
+                vm.run(0.0, work(txn, 1e6));
+            }
+            vm.advance(until)
+        };
+        let fell = [Happened::Fell("too many on its cores")];
+        assert_eq!(crowd(17, false, 2100.0), fell);
+        assert!(crowd(17, false, 1000.0).is_empty(), "a mean over 2 s");
+        assert!(crowd(15, false, 2100.0).is_empty());
+        assert_eq!(crowd(12, true, 2100.0), fell);
+        let mut vm = Vm::new(make(), 0.0, false);
+        vm.hold(0.0, 1, 1200.0);
+        assert!(vm.advance(50.0).is_empty(), "it is not counted yet");
+        assert_eq!(vm.advance(150.0), [Happened::Fell("out of memory")]);
+    }
+}
--- /dev/null
+++ b/rig/src/play.rs
@@ -0,0 +1,444 @@
+//! Plays a scenario: starts the nodes and all stand-ins, sends the load, strikes with the faults, and ends every
+//! process that it started.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+
+use tokio::task::{spawn_local, LocalSet};
+
+use crate::history::{Event, History};
+use crate::machine::{Build, Ending, Machine, Programs};
+use crate::model::members::Members;
+use crate::model::Ms;
+use crate::plan::{generator, plan, At, Plan, Stream, Strike};
+use crate::relay::Line;
+use crate::scenario::{Link, Scenario, Traffic, Way, What};
+use crate::stand::below::Tier;
+use crate::stand::fronts::{Door, FrontEnd, Shared};
+use crate::world::World;
+
+/// All nodes serve within this, or the play does not begin.
+const READY: Ms = 30_000.0;
+/// Between the last node's readiness and the load.
+const LULL: Ms = 500.0;
+/// After the load, the play goes on until the longest deadline is over, and this.
+const AFTER: Ms = 500.0;
+/// Between two samples of what programs take.
+const SAMPLES: Ms = 500.0;
+/// The rig looks so often whether it runs late itself, and says so from this on.
+const HEARTBEAT: Ms = 10.0;
+const LATE: Ms = 25.0;
+/// Pieces of progress: a line every so often.
+const PROGRESS: Ms = 5_000.0;
+
+/// How to play.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// The seed; the scenario's own if there is none.
+    pub seed: Option<u64>,
+    /// Where the program is, and other builds by name.
+    pub programs: Programs,
+    /// Where logs and histories go; none are kept without it.
+    pub out: Option<PathBuf>,
+    /// Whether progress is told on standard error.
+    pub progress: bool,
+}
+
+/// Plays a scenario to its end.
+///
+/// # Errors
+///
+/// Where the program can't be started or does not serve, and where the play is interrupted.
+pub fn play(scenario: &Scenario, options: &Options) -> io::Result<History> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let set = LocalSet::new();
+    let history = runtime.block_on(set.run_until(async {
+        let interrupted = tokio::signal::ctrl_c();
+        tokio::select! {
+            played = run(scenario, options) => played,
+            _ = interrupted => Err(io::Error::new(io::ErrorKind::Interrupted, "interrupted; every process is ended")),
+        }
+    }));
+    // Tasks hold the machines, and with them the processes.
+    drop(set);
+    history
+}
+
+/// The parts of a play.
+struct Stage {
+    world: Rc<World>,
+    machines: Vec<Rc<Machine>>,
+    fronts: Vec<Rc<FrontEnd>>,
+    tier: Option<Rc<Tier>>,
+    members: Rc<RefCell<Members>>,
+    /// Strikes that wait for an event and have not come yet.
+    waiting: RefCell<Vec<Strike>>,
+    number: Cell<u64>,
+}
+
+async fn run(scenario: &Scenario, options: &Options) -> io::Result<History> {
+    let seed = options.seed.unwrap_or(scenario.seed);
+    let own = Folder::new(options.out.as_deref())?;
+    let stage = Rc::new(stage(scenario, options, seed, &own.path)?);
+    let world = stage.world.clone();
+    for machine in &stage.machines {
+        machine.begin().await?;
+    }
+    ready(&stage).await?;
+    world.begun.set(world.now() + LULL);
+    let begun = world.begun.get();
+    for machine in &stage.machines {
+        machine.keep_copy();
+    }
+    spawn_local(samples(stage.clone()));
+    spawn_local(heartbeat(world.clone()));
+    if options.progress {
+        spawn_local(progress(stage.clone()));
+    }
+    for front in &stage.fronts {
+        spawn_local(front.clone().tidy());
+    }
+    arm(&stage);
+    let mut order: Vec<usize> = (0..world.plan.asks.len()).collect();
+    order.sort_by(|a, b| world.plan.asks[*a].at.total_cmp(&world.plan.asks[*b].at));
+    for n in order {
+        let ask = &world.plan.asks[n];
+        world.clock.until(begun + ask.at).await;
+        spawn_local(stage.fronts[ask.front].clone().client(n));
+    }
+    let longest = scenario.classes.iter().map(|class| class.deadline_ms).max().unwrap_or(0) as f64;
+    let end = begun + scenario.seconds * 1000.0 + longest + scenario.rules.slack_ms + AFTER;
+    world.clock.until(end).await;
+    world.deafen();
+    stage.waiting.borrow_mut().clear();
+    for machine in &stage.machines {
+        machine.end(Ending::Over);
+    }
+    Ok(world.history())
+}
+
+fn stage(scenario: &Scenario, options: &Options, seed: u64, folder: &Path) -> io::Result<Stage> {
+    let drawn: Plan = plan(scenario, seed);
+    let world = World::new(scenario.clone(), drawn, seed);
+    let members =
+        Rc::new(RefCell::new(Members::new(scenario.fleet.nodes, scenario.members.lapse_s * 1000.0)));
+    let tier = scenario.below.clone().map(|shape| Tier::new(world.clone(), shape));
+    if let Some(tier) = &tier {
+        spawn_local(tier.clone().work());
+    }
+    let mut lines = 0;
+    let mut line = || {
+        lines += 1;
+        Line::new(world.clock, generator(seed, Stream::Links, lines))
+    };
+    let machines = (0..scenario.fleet.nodes)
+        .map(|node| {
+            let clients = (0..scenario.fronts.count).map(|_| line()).collect();
+            Machine::new(
+                world.clone(),
+                node,
+                [line(), line(), line()],
+                clients,
+                &options.programs,
+                folder,
+                options.out.is_some(),
+            )
+        })
+        .collect::<io::Result<Vec<_>>>()?;
+    for machine in &machines {
+        spawn_local(machine.interpreter.clone().work());
+        spawn_local(machine.clone().serve_peers(tier.clone(), members.clone()));
+    }
+    let doors = machines.iter().map(|machine| Door {
+        address: machine.address.subscribe(),
+        lines: machine.clients.clone(),
+        interpreter: machine.interpreter.clone(),
+    });
+    let shared = Shared {
+        doors: Rc::new(doors.collect()),
+        members: members.clone(),
+        tries: Rc::default(),
+        went: Rc::default(),
+    };
+    let fronts =
+        (0..scenario.fronts.count).map(|front| FrontEnd::new(world.clone(), front, shared.clone())).collect();
+    Ok(Stage { world, machines, fronts, tier, members, waiting: RefCell::default(), number: Cell::new(1) })
+}
+
+/// Waits until every node serves and every front end sees it on its list.
+async fn ready(stage: &Stage) -> io::Result<()> {
+    let (world, by) = (&stage.world, stage.world.now() + READY);
+    let latest = world.plan.fronts.iter().map(|front| front.late).fold(0.0, f64::max);
+    loop {
+        let now = world.now();
+        let listed = stage.members.borrow_mut().listed_at(now, now - latest);
+        let mut up = true;
+        for (machine, listed) in stage.machines.iter().zip(&listed) {
+            up = up && *listed && machine.healthy().await;
+        }
+        if up {
+            return Ok(());
+        }
+        if now > by {
+            return Err(io::Error::new(
+                io::ErrorKind::TimedOut,
+                "not every node serves within 30 s of its start",
+            ));
+        }
+        world.clock.until(now + 50.0).await;
+    }
+}
+
+/// Arms the faults: those with a time, and those that wait for an event.
+fn arm(stage: &Rc<Stage>) {
+    let begun = stage.world.begun.get();
+    for strike in &stage.world.plan.strikes {
+        match strike.at {
+            At::Time(at) => {
+                let (stage, strike) = (stage.clone(), strike.clone());
+                spawn_local(async move {
+                    stage.world.clock.until(begun + at + strike.after).await;
+                    stage.strike(&strike);
+                });
+            }
+            At::Event(..) => stage.waiting.borrow_mut().push(strike.clone()),
+        }
+    }
+    let listening = Rc::downgrade(stage);
+    stage.world.listen(move |node, what, count| {
+        let Some(stage) = listening.upgrade() else { return };
+        let due = |strike: &Strike| strike.at == At::Event(node, what, count);
+        let struck: Vec<Strike> = {
+            let mut waiting = stage.waiting.borrow_mut();
+            let (now, later) = std::mem::take(&mut *waiting).into_iter().partition(due);
+            *waiting = later;
+            now
+        };
+        for strike in struck {
+            if strike.after == 0.0 {
+                // At once: a moment later the node would be further on.
+                stage.strike(&strike);
+            } else {
+                let (stage, now) = (stage.clone(), stage.world.now());
+                spawn_local(async move {
+                    stage.world.clock.until(now + strike.after).await;
+                    stage.strike(&strike);
+                });
+            }
+        }
+    });
+}
+
+impl Stage {
+    /// Does what a fault does, and sees to its end.
+    fn strike(self: &Rc<Self>, strike: &Strike) {
+        let (world, fault) = (&self.world, &strike.fault);
+        let lasts = fault.for_s.unwrap_or(0.0) * 1000.0;
+        let down = fault.down_s.map(|s| s * 1000.0);
+        let until = world.now() + lasts.max(down.unwrap_or(0.0));
+        world.note(Event::Fault { text: self.describe(strike), until });
+        let struck = || strike.whom.iter().filter_map(|node| self.machines.get(*node));
+        match fault.what {
+            What::Kill => struck().for_each(|machine| machine.kill(down, fault, strike.draw)),
+            What::Leave => struck().for_each(|machine| machine.leave(down, fault, strike.draw)),
+            What::Reload => struck().for_each(|machine| machine.reload()),
+            What::Stop => {
+                struck().for_each(|machine| machine.stand_still(true, fault.program_only));
+                self.later(until, strike, |machine, fault| machine.stand_still(false, fault.program_only));
+            }
+            What::Slow => {
+                struck().for_each(|machine| machine.interpreter.slow(fault.factor));
+                self.later(until, strike, |machine, _| machine.interpreter.slow(1.0));
+            }
+            What::Partition => {
+                let silent = Traffic { silent: true, ..Traffic::default() };
+                let all = [Link::Clients, Link::Below, Link::Members, Link::Peers];
+                self.disturb(strike, &all, Way::Both, &silent, until);
+            }
+            What::Link => self.disturb(strike, &fault.between, fault.way, &fault.traffic, until),
+            What::Below => {
+                if let Some(tier) = self.tier.clone() {
+                    tier.weaken(fault.factor);
+                    let clock = world.clock;
+                    spawn_local(async move {
+                        clock.until(until).await;
+                        tier.weaken(1.0);
+                    });
+                }
+            }
+            What::Members => {
+                self.members.borrow_mut().deaf(world.now(), true);
+                let (members, clock) = (self.members.clone(), world.clock);
+                spawn_local(async move {
+                    clock.until(until).await;
+                    members.borrow_mut().deaf(clock.now(), false);
+                });
+            }
+            What::Fronts => strike
+                .whom
+                .iter()
+                .filter_map(|front| self.fronts.get(*front))
+                .for_each(|front| front.restart()),
+        }
+    }
+
+    /// Undoes a fault for all that it struck.
+    fn later(
+        self: &Rc<Self>,
+        until: Ms,
+        strike: &Strike,
+        undo: impl Fn(&Rc<Machine>, &crate::scenario::Fault) + 'static,
+    ) {
+        let (stage, strike) = (self.clone(), strike.clone());
+        spawn_local(async move {
+            stage.world.clock.until(until).await;
+            strike
+                .whom
+                .iter()
+                .filter_map(|node| stage.machines.get(*node))
+                .for_each(|machine| undo(machine, &strike.fault));
+        });
+    }
+
+    /// Disturbs lines of the nodes struck, until then.
+    fn disturb(self: &Rc<Self>, strike: &Strike, between: &[Link], way: Way, traffic: &Traffic, until: Ms) {
+        let number = self.number.replace(self.number.get() + 1);
+        let mut lines = Vec::new();
+        for node in &strike.whom {
+            let Some(machine) = self.machines.get(*node) else { continue };
+            for link in between {
+                match link {
+                    Link::Clients => {
+                        for (front, line) in machine.clients.iter().enumerate() {
+                            // Front ends within a zone that is cut off still reach it.
+                            let within = strike.fault.zone.as_ref().is_some_and(|zone| {
+                                let scenario = &self.world.scenario;
+                                scenario.fleet.zones[self.world.plan.fronts[front].zone] == *zone
+                            });
+                            if strike.fault.what != What::Partition || !within {
+                                lines.push((line.clone(), Some((*node, front))));
+                            }
+                        }
+                    }
+                    Link::Vm => lines.push((machine.vm.clone(), None)),
+                    Link::Below => lines.push((machine.below.clone(), None)),
+                    Link::Members => lines.push((machine.members.clone(), None)),
+                    Link::Peers => {}
+                }
+            }
+        }
+        let told = |on: bool, world: &World, lines: &[(Line, Option<(usize, usize)>)]| {
+            for (node, front) in lines.iter().filter_map(|(_, door)| *door) {
+                world.note(Event::Disturbed { node, front: Some(front), on });
+            }
+        };
+        told(true, &self.world, &lines);
+        lines.iter().for_each(|(line, _)| line.disturb(number, way, traffic));
+        let world = self.world.clone();
+        spawn_local(async move {
+            world.clock.until(until).await;
+            lines.iter().for_each(|(line, _)| line.mend(number));
+            told(false, &world, &lines);
+        });
+    }
+
+    fn describe(&self, strike: &Strike) -> String {
+        let what = format!("{:?}", strike.fault.what).to_lowercase();
+        match (&strike.fault.zone, strike.whom.len()) {
+            (_, 0) => what,
+            (Some(zone), _) => format!("{what} {zone}"),
+            (None, 1) if strike.fault.what != What::Fronts => format!("{what} n{}", strike.whom[0] + 1),
+            (None, count) => format!("{what} {count}"),
+        }
+    }
+}
+
+async fn samples(stage: Rc<Stage>) {
+    loop {
+        for machine in &stage.machines {
+            machine.sample();
+        }
+        let next = stage.world.now() + SAMPLES;
+        stage.world.clock.until(next).await;
+    }
+}
+
+/// Notes where the rig itself runs late: what it sees then is not the program's doing.
+async fn heartbeat(world: Rc<World>) {
+    loop {
+        let due = world.now() + HEARTBEAT;
+        world.clock.until(due).await;
+        let by = world.now() - due;
+        if by > LATE {
+            world.note(Event::Late { by });
+        }
+    }
+}
+
+async fn progress(stage: Rc<Stage>) {
+    let world = &stage.world;
+    loop {
+        let at = (world.now() - world.begun.get()) / 1000.0;
+        let up = stage.machines.iter().filter(|machine| machine.address.borrow().is_some()).count();
+        eprintln!(
+            "{}: {:.0} of {:.0} s, {up} of {} nodes up",
+            world.scenario.name,
+            at.max(0.0),
+            world.scenario.seconds,
+            stage.machines.len()
+        );
+        world.clock.until(world.now() + PROGRESS).await;
+    }
+}
+
+/// Where a play keeps its files; removed at the end unless they are to be kept.
+struct Folder {
+    path: PathBuf,
+    kept: bool,
+}
+
+impl Folder {
+    fn new(out: Option<&Path>) -> io::Result<Folder> {
+        let (path, kept) = match out {
+            Some(out) => (out.to_path_buf(), true),
+            None => {
+                static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+                let number = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                (std::env::temp_dir().join(format!("oakwind-rig-{}-{number}", std::process::id())), false)
+            }
+        };
+        std::fs::create_dir_all(&path)?;
+        Ok(Folder { path: path.canonicalize()?, kept })
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        if !self.kept {
+            // What is left over lies in the system's folder for such things.
+            let _ = std::fs::remove_dir_all(&self.path);
+        }
+    }
+}
+
+/// The builds that are named as NAME=PATH, with arguments behind it.
+///
+/// # Errors
+///
+/// Where one is not named like that.
+pub fn programs(default: PathBuf, named: &[String]) -> Result<Programs, String> {
+    let mut others = BTreeMap::new();
+    for entry in named {
+        let Some((name, command)) = entry.split_once('=') else {
+            return Err(format!("--program {entry}: is not NAME=PATH"));
+        };
+        let mut words = command.split_whitespace();
+        let path = words.next().map(PathBuf::from).unwrap_or_default();
+        others.insert(name.to_string(), Build { path, arguments: words.map(String::from).collect() });
+    }
+    let default = others.get("default").cloned().unwrap_or(Build { path: default, arguments: Vec::new() });
+    Ok(Programs { default, others })
+}
--- /dev/null
+++ b/rig/src/relay.rs
@@ -0,0 +1,369 @@
+//! A line between two ends, one of them a node, and what can be wrong with it, each way alone. Streams and datagrams
+//! go through it; no end knows.
+
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use tokio::io::{duplex, AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, DuplexStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::{mpsc, watch, Semaphore};
+use tokio::task::spawn_local;
+
+use crate::clock::Clock;
+use crate::model::Ms;
+use crate::scenario::{Traffic, Way};
+
+/// Pieces on their way in one direction of a connection; who sends more waits.
+const PIECES: usize = 64;
+/// The largest piece.
+const PIECE: usize = 16 * 1024;
+/// Bytes that an end may have sent and the line has not taken.
+const BUFFER: usize = 64 * 1024;
+/// Datagrams on their way; more are lost.
+const DATAGRAMS: usize = 1024;
+/// One that is overtaken comes so much later.
+const OVERTAKEN: Ms = 20.0;
+
+/// One direction.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Direction {
+    /// To the node.
+    To,
+    /// From the node.
+    From,
+}
+
+#[derive(Debug, Clone, Default, PartialEq)]
+struct Condition {
+    /// What is wrong now: by whose number, which way, and what.
+    wrong: Vec<(u64, Way, Traffic)>,
+    /// How often connections were reset.
+    resets: u64,
+}
+
+impl Condition {
+    fn now(&self, direction: Direction) -> Traffic {
+        let meant = |way: &Way| match way {
+            Way::Both => true,
+            Way::To => direction == Direction::To,
+            Way::From => direction == Direction::From,
+        };
+        let mut all = Traffic::default();
+        for (_, _, traffic) in self.wrong.iter().filter(|(_, way, _)| meant(way)) {
+            all.cut |= traffic.cut;
+            all.silent |= traffic.silent;
+            all.delay_ms += traffic.delay_ms;
+            all.spread_ms += traffic.spread_ms;
+            all.loss = all.loss.max(traffic.loss);
+            all.duplicate = all.duplicate.max(traffic.duplicate);
+            all.reorder = all.reorder.max(traffic.reorder);
+            if traffic.kb_per_s > 0.0 {
+                all.kb_per_s =
+                    if all.kb_per_s > 0.0 { all.kb_per_s.min(traffic.kb_per_s) } else { traffic.kb_per_s };
+            }
+        }
+        all
+    }
+
+    fn cut(&self) -> bool {
+        self.wrong.iter().any(|(_, _, traffic)| traffic.cut)
+    }
+
+    fn silent(&self) -> bool {
+        self.wrong.iter().any(|(_, _, traffic)| traffic.silent)
+    }
+}
+
+/// A line. Clones are the same line.
+#[derive(Debug, Clone)]
+pub struct Line {
+    clock: Clock,
+    condition: Rc<watch::Sender<Condition>>,
+    rng: Rc<RefCell<ChaCha8Rng>>,
+}
+
+impl Line {
+    /// A line with nothing wrong. The generator draws delays and losses.
+    pub fn new(clock: Clock, rng: ChaCha8Rng) -> Line {
+        let condition = Rc::new(watch::channel(Condition::default()).0);
+        Line { clock, condition, rng: Rc::new(RefCell::new(rng)) }
+    }
+
+    /// Something goes wrong, until it is mended by the same number.
+    pub fn disturb(&self, number: u64, way: Way, traffic: &Traffic) {
+        self.condition.send_modify(|condition| {
+            condition.resets += u64::from(traffic.reset || traffic.cut);
+            condition.wrong.push((number, way, traffic.clone()));
+        });
+    }
+
+    /// It is over.
+    pub fn mend(&self, number: u64) {
+        self.condition.send_modify(|condition| condition.wrong.retain(|(of, ..)| *of != number));
+    }
+
+    fn now(&self, direction: Direction) -> Traffic {
+        self.condition.borrow().now(direction)
+    }
+
+    /// Waits until something holds of the line.
+    async fn wait(&self, holds: impl FnMut(&Condition) -> bool) {
+        // The sender lives as long as the line.
+        let _ = self.condition.subscribe().wait_for(holds).await;
+    }
+
+    /// Connects to a node and returns the other end.
+    ///
+    /// # Errors
+    ///
+    /// Where the line is cut, or the node does not take the connection.
+    pub async fn open(&self, node: SocketAddr) -> io::Result<DuplexStream> {
+        self.wait(|condition| condition.cut() || !condition.silent()).await;
+        if self.condition.borrow().cut() {
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
+        let stream = TcpStream::connect(node).await?;
+        Ok(self.attach(stream))
+    }
+
+    /// Takes what a node connects to, and hands each other end out. Ends with the receiver.
+    pub async fn accept(self, listener: TcpListener, ends: mpsc::Sender<DuplexStream>) {
+        while let Ok((stream, _)) = listener.accept().await {
+            if self.condition.borrow().cut() {
+                continue;
+            }
+            let line = self.clone();
+            let ends = ends.clone();
+            spawn_local(async move {
+                line.wait(|condition| condition.cut() || !condition.silent()).await;
+                // Nobody takes it any more once the play is over.
+                let _ = ends.send(line.attach(stream)).await;
+            });
+        }
+    }
+
+    fn attach(&self, stream: TcpStream) -> DuplexStream {
+        // Pieces must not wait for company; a refusal of that costs time alone.
+        let _ = stream.set_nodelay(true);
+        let (far, near) = duplex(BUFFER);
+        spawn_local(self.clone().join(stream, near));
+        far
+    }
+
+    /// Carries both ways until one end breaks or both are done.
+    async fn join(self, mut node: TcpStream, mut other: DuplexStream) {
+        let resets = self.condition.borrow().resets;
+        let (from_node, to_node) = node.split();
+        let (from_other, to_other) = tokio::io::split(&mut other);
+        let carried = async {
+            tokio::try_join!(
+                self.carry(Direction::To, from_other, to_node),
+                self.carry(Direction::From, from_node, to_other)
+            )
+        };
+        tokio::select! {
+            // Either end sees the connection end, whatever ended it.
+            _ = carried => {}
+            () = self.wait(|condition| condition.resets != resets) => {}
+        }
+    }
+
+    async fn carry(
+        &self,
+        direction: Direction,
+        mut from: impl AsyncRead + Unpin,
+        mut to: impl AsyncWrite + Unpin,
+    ) -> io::Result<()> {
+        let (put, mut take) = mpsc::channel::<(Ms, Vec<u8>)>(PIECES);
+        let read = async {
+            let (mut piece, mut last) = (vec![0; PIECE], 0.0_f64);
+            loop {
+                let length = from.read(&mut piece).await?;
+                if length == 0 {
+                    break;
+                }
+                let wrong = self.now(direction);
+                // A stream keeps its order.
+                last = last.max(self.clock.now() + self.delay(&wrong));
+                if put.send((last, piece[..length].to_vec())).await.is_err() {
+                    break;
+                }
+            }
+            drop(put);
+            Ok::<(), io::Error>(())
+        };
+        let write = async {
+            while let Some((due, piece)) = take.recv().await {
+                self.clock.until(due).await;
+                self.wait(|condition| !condition.now(direction).silent).await;
+                let rate = self.now(direction).kb_per_s;
+                if rate > 0.0 {
+                    tokio::time::sleep(Duration::from_secs_f64(piece.len() as f64 / (rate * 1000.0))).await;
+                }
+                to.write_all(&piece).await?;
+            }
+            to.shutdown().await
+        };
+        tokio::try_join!(read, write).map(|_| ())
+    }
+
+    fn delay(&self, wrong: &Traffic) -> Ms {
+        let spread = if wrong.spread_ms > 0.0 {
+            self.rng.borrow_mut().random_range(0.0..wrong.spread_ms)
+        } else {
+            0.0
+        };
+        wrong.delay_ms + spread
+    }
+
+    fn chance(&self, part: f64) -> bool {
+        part > 0.0 && self.rng.borrow_mut().random::<f64>() < part
+    }
+
+    /// Carries datagrams that come to a socket one way. Ends where nobody takes them any more.
+    pub async fn datagrams(self, socket: UdpSocket, direction: Direction, deliver: mpsc::Sender<Vec<u8>>) {
+        let mut bytes = vec![0; 64 * 1024];
+        let room = Arc::new(Semaphore::new(DATAGRAMS));
+        while !deliver.is_closed() {
+            let Ok(length) = socket.recv(&mut bytes).await else { continue };
+            let wrong = self.now(direction);
+            if wrong.cut || wrong.silent || self.chance(wrong.loss) {
+                continue;
+            }
+            let copies = if self.chance(wrong.duplicate) { 2 } else { 1 };
+            for _ in 0..copies {
+                let Ok(place) = room.clone().try_acquire_owned() else { continue };
+                let late = if self.chance(wrong.reorder) { OVERTAKEN } else { 0.0 };
+                let due = self.clock.now() + self.delay(&wrong) + late;
+                let (clock, deliver, datagram) = (self.clock, deliver.clone(), bytes[..length].to_vec());
+                spawn_local(async move {
+                    clock.until(due).await;
+                    // Nobody takes it any more once the play is over.
+                    let _ = deliver.send(datagram).await;
+                    drop(place);
+                });
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::plan::{generator, Stream};
+    use tokio::task::LocalSet;
+
+    fn run<F: std::future::Future<Output = ()>>(test: impl FnOnce(Line) -> F) {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(LocalSet::new().run_until(async {
+            test(Line::new(Clock::begin(), generator(1, Stream::Links, 0))).await;
+        }));
+    }
+
+    /// A node that echoes.
+    async fn echo() -> SocketAddr {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        spawn_local(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                spawn_local(async move {
+                    let (mut reader, mut writer) = stream.split();
+                    let _ = tokio::io::copy(&mut reader, &mut writer).await;
+                });
+            }
+        });
+        address
+    }
+
+    async fn echoes(end: &mut DuplexStream, text: &[u8]) -> bool {
+        let mut got = vec![0; text.len()];
+        end.write_all(text).await.is_ok() && end.read_exact(&mut got).await.is_ok() && got == text
+    }
+
+    #[test]
+    fn a_cut_ends_what_is_open_and_refuses_what_is_new_until_it_is_mended() {
+        run(|line| async move {
+            let node = echo().await;
+            let mut end = line.open(node).await.unwrap();
+            assert!(echoes(&mut end, b"before").await);
+            line.disturb(1, Way::Both, &Traffic { cut: true, ..Traffic::default() });
+            assert!(!echoes(&mut end, b"within").await);
+            assert!(line.open(node).await.is_err());
+            line.mend(1);
+            assert!(echoes(&mut line.open(node).await.unwrap(), b"after").await);
+        });
+    }
+
+    #[test]
+    fn silence_one_way_holds_back_what_goes_that_way_and_lets_it_pass_in_the_end() {
+        run(|line| async move {
+            let mut end = line.open(echo().await).await.unwrap();
+            line.disturb(1, Way::From, &Traffic { silent: true, ..Traffic::default() });
+            end.write_all(b"hello").await.unwrap();
+            let mut got = [0; 5];
+            let early = tokio::time::timeout(Duration::from_millis(50), end.read_exact(&mut got)).await;
+            assert!(early.is_err(), "nothing passes");
+            line.mend(1);
+            end.read_exact(&mut got).await.unwrap();
+            assert_eq!(&got, b"hello");
+        });
+    }
+
+    #[test]
+    fn delays_add_up_and_keep_the_order_of_a_stream() {
+        run(|line| async move {
+            let mut end = line.open(echo().await).await.unwrap();
+            line.disturb(1, Way::To, &Traffic { delay_ms: 30.0, spread_ms: 20.0, ..Traffic::default() });
+            let before = line.clock.now();
+            let text: Vec<u8> = (0..=255).collect();
+            for byte in &text {
+                end.write_all(&[*byte]).await.unwrap();
+            }
+            let mut got = vec![0; text.len()];
+            end.read_exact(&mut got).await.unwrap();
+            assert!(got == text && line.clock.now() - before >= 30.0);
+        });
+    }
+
+    #[test]
+    fn datagrams_are_lost_and_doubled_by_chance() {
+        run(|line| async move {
+            let count = |wrong: Traffic| {
+                let line = line.clone();
+                async move {
+                    let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+                    let address = socket.local_addr().unwrap();
+                    line.disturb(1, Way::Both, &wrong);
+                    let (deliver, mut got) = mpsc::channel(1024);
+                    let carried = spawn_local(line.clone().datagrams(socket, Direction::To, deliver));
+                    let from = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+                    for _ in 0..200 {
+                        from.send_to(b"x", address).await.unwrap();
+                        tokio::task::yield_now().await;
+                    }
+                    // Whatever is lost, the last one that is not marks the end.
+                    line.mend(1);
+                    let mut number = 0;
+                    loop {
+                        from.send_to(b"end", address).await.unwrap();
+                        tokio::task::yield_now().await;
+                        match got.recv().await.as_deref() {
+                            Some(b"x") => number += 1,
+                            _ => break,
+                        }
+                    }
+                    carried.abort();
+                    number
+                }
+            };
+            assert_eq!(count(Traffic { loss: 1.0, ..Traffic::default() }).await, 0);
+            assert!(count(Traffic { duplicate: 1.0, ..Traffic::default() }).await > 200);
+        });
+    }
+}
--- /dev/null
+++ b/rig/src/settings.rs
@@ -0,0 +1,84 @@
+//! The files that a node of a scenario is started with.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use serde_json::{json, Value};
+
+use crate::model::vm::FALL_MULTIPLE;
+use crate::scenario::Scenario;
+
+/// What comes later than this after the notice to leave is not run.
+pub const DRAIN_GRACE_MS: f64 = 2000.0;
+/// The longest advice to stay away.
+const MAX_RETRY_AFTER_MS: u64 = 1000;
+/// A node's folder takes so much at the most.
+const FOLDER_MB: u64 = 16;
+
+/// Where a node reaches its peers.
+#[derive(Debug, Clone, Copy)]
+pub struct Peers {
+    /// The interpreter.
+    pub vm: SocketAddr,
+    /// The index.
+    pub index: SocketAddr,
+    /// The membership service.
+    pub members: SocketAddr,
+}
+
+/// The platform's configuration of a node.
+pub fn config(scenario: &Scenario, name: &str, seed: u64, peers: &Peers) -> String {
+    let calls = scenario.below.is_some();
+    let mut config = json!({
+        "name": name, "listen": "127.0.0.1:0", "vm": peers.vm, "members": peers.members,
+        "seed": format!("{seed:x}"), "stop_ms": scenario.fleet.stop_ms,
+        "limits": {"memory_mb": scenario.fleet.memory_mb, "sockets": scenario.fleet.sockets},
+        "settings": settings(scenario),
+    });
+    if calls {
+        config["index"] = json!(peers.index);
+    }
+    config.to_string()
+}
+
+fn settings(scenario: &Scenario) -> Value {
+    let micros = |ms: f64| (ms * 1000.0) as u64;
+    let fleet = &scenario.fleet;
+    let services: Vec<Value> = scenario
+        .classes
+        .iter()
+        .map(|class| {
+            json!({"name": class.name, "slo": class.aim_ms * 1000, "deadline": class.deadline_ms * 1000,
+                "effect": if class.keyed { "by_key" } else { "repeatable" },
+                "window": class.window_ms * 1000, "worth": class.worth, "lateWorth": class.late_worth})
+        })
+        .collect();
+    let shares: f64 = scenario.load.tenants.values().sum();
+    let rate = scenario.capacity() * 1000.0 / scenario.mean_work();
+    let tenants: Vec<Value> = scenario
+        .load
+        .tenants
+        .iter()
+        .map(|(name, share)| json!({"name": name, "quotaPerS": rate * share / shares}))
+        .collect();
+    let of_classes =
+        |of: fn(&crate::scenario::Class) -> Value| scenario.classes.iter().map(of).collect::<Vec<Value>>();
+    json!({
+        "services": services, "countedBy": "work", "overShareWorth": 0.1, "servers": fleet.nodes, "tick": 4000,
+        "specifics": {"cores": fleet.cores, "memoryKb": fleet.memory_kb, "runFactor": fleet.run_factor, "entryKb": 1.0,
+            "dependsOn": if scenario.below.is_some() { "tier" } else { "off" }, "callers": scenario.fronts.count,
+            "classCalls": of_classes(|class| json!(class.calls)),
+            "classSkipWorth": of_classes(|class| json!(class.skip_worth)),
+            "idle": micros(scenario.fronts.idle_s * 1000.0), "passesDeadline": true, "preemption": "pause",
+            "gauges": ["cpu_busy", "runnable", "mem_used"]},
+        "safety": {"coldShare": fleet.warm_from, "warmAfter": micros(fleet.warm_s * 1000.0),
+            "drainGrace": micros(DRAIN_GRACE_MS), "fallMultiple": FALL_MULTIPLE},
+        "limits": {"maxRetryAfter": MAX_RETRY_AFTER_MS * 1000, "retryAfter": true},
+        "tenants": tenants,
+    })
+}
+
+/// The file that makes a node's keys and results outlast it.
+pub fn remembered(folder: &Path) -> String {
+    format!("folder = '{}'\nfile_mb = {FOLDER_MB}\n", folder.display())
+}
--- /dev/null
+++ b/rig/src/stand/fronts.rs
@@ -0,0 +1,373 @@
+//! Front ends and the clients behind them, on connections with the nodes.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use base64::engine::general_purpose::STANDARD as BASE64;
+use base64::Engine;
+use tokio::io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader, DuplexStream};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task::spawn_local;
+
+use super::interpreter::Interpreter;
+use crate::history::{Drop, Event, Kind};
+use crate::model::front::{Answer, Front, Journey, Pin, Step};
+use crate::model::members::Members;
+use crate::model::Ms;
+use crate::relay::Line;
+use crate::scenario::{Happening, RepeatAt};
+use crate::wire::{self, Said};
+use crate::world::{World, Written};
+
+/// Requests that may be open on a connection.
+const OPEN: usize = 32;
+/// Lines that wait to be written on one.
+const UNWRITTEN: usize = 64;
+/// The longest answer.
+const LONGEST: u64 = 64 * 1024;
+/// A request that crosses a close within this is sent again, once.
+const CROSSING: Ms = 50.0;
+/// After an answer's last moment the caller still listens so long, to tell a late one from none.
+const LISTENS: Ms = 100.0;
+
+/// Where front ends reach a node.
+pub struct Door {
+    /// Its address of the day; none while it is down.
+    pub address: watch::Receiver<Option<SocketAddr>>,
+    /// The line from each front end.
+    pub lines: Vec<Line>,
+    /// Where its requests are booked.
+    pub interpreter: Rc<Interpreter>,
+}
+
+struct Open {
+    txn: u64,
+    wrote: Ms,
+    /// Nothing else was open when it was written.
+    alone: bool,
+    give: Option<oneshot::Sender<Answer>>,
+}
+
+struct Connection {
+    node: usize,
+    out: RefCell<Option<mpsc::Sender<String>>>,
+    open: RefCell<BTreeMap<u64, Open>>,
+    /// The tries that were answered here, to tell a second answer.
+    answered: RefCell<HashMap<u64, u64>>,
+    next: Cell<u64>,
+    used: Cell<Ms>,
+    /// Nothing new is to be sent here.
+    leaving: Cell<bool>,
+}
+
+/// One front end.
+pub struct FrontEnd {
+    world: Rc<World>,
+    number: usize,
+    late: Ms,
+    habits: RefCell<Front>,
+    doors: Rc<Vec<Door>>,
+    members: Rc<RefCell<Members>>,
+    connections: RefCell<Vec<Rc<Connection>>>,
+    tries: Rc<Cell<u64>>,
+    /// Where each request was tried first.
+    went: Rc<RefCell<HashMap<usize, usize>>>,
+}
+
+/// What front ends share.
+#[derive(Clone)]
+pub struct Shared {
+    /// The doors of all nodes.
+    pub doors: Rc<Vec<Door>>,
+    /// The membership service.
+    pub members: Rc<RefCell<Members>>,
+    /// Tries so far, of all.
+    pub tries: Rc<Cell<u64>>,
+    /// Where each request was tried first.
+    pub went: Rc<RefCell<HashMap<usize, usize>>>,
+}
+
+impl FrontEnd {
+    /// A front end of the plan.
+    pub fn new(world: Rc<World>, number: usize, shared: Shared) -> Rc<FrontEnd> {
+        let plan = &world.plan.fronts[number];
+        let rng = crate::plan::generator(world.seed, crate::plan::Stream::Habits, number as u64);
+        let habits =
+            Front::new(&world.scenario.fronts, plan.choose, plan.heeds, world.scenario.fleet.nodes, rng);
+        let late = plan.late;
+        let Shared { doors, members, tries, went } = shared;
+        Rc::new(FrontEnd {
+            world,
+            number,
+            late,
+            habits: RefCell::new(habits),
+            doors,
+            members,
+            connections: RefCell::default(),
+            tries,
+            went,
+        })
+    }
+
+    fn listed(&self) -> Vec<bool> {
+        let now = self.world.now();
+        self.members.borrow_mut().listed_at(now, now - self.late)
+    }
+
+    /// Takes one client's request to its end.
+    pub async fn client(self: Rc<Self>, n: usize) {
+        let ask = &self.world.plan.asks[n];
+        let class = &self.world.scenario.classes[ask.class];
+        let asked = self.world.now();
+        self.world.note(Event::Asked { n, class: ask.class, repeats: ask.repeats });
+        let first = ask.repeats.map(|first| self.went.borrow().get(&first).copied());
+        let pin = match (first, self.world.scenario.load.repeat_at) {
+            (None, _) => Pin::Free,
+            (Some(Some(node)), RepeatAt::Same) => Pin::To(node),
+            (Some(Some(node)), RepeatAt::Other) => Pin::Not(node),
+            (Some(_), _) => Pin::Once,
+        };
+        let due = asked + class.deadline_ms as f64;
+        let mut journey = Journey::new(due, pin, &self.habits.borrow());
+        let mut step = journey.go(asked, &mut self.habits.borrow_mut(), &self.listed());
+        let mut tries = 0;
+        let end = loop {
+            step = match step {
+                Step::Try(node) => {
+                    tries += 1;
+                    self.went.borrow_mut().entry(n).or_insert(node);
+                    let answer = self.attempt(node, n, due).await;
+                    let listed = self.listed();
+                    journey.answered(self.world.now(), node, answer, &mut self.habits.borrow_mut(), &listed)
+                }
+                Step::Wait(until) => {
+                    self.world.clock.until(until).await;
+                    let listed = self.listed();
+                    journey.go(self.world.now(), &mut self.habits.borrow_mut(), &listed)
+                }
+                Step::Over(end) => break end,
+            };
+        };
+        self.world.note(Event::Over { n, end, tries });
+    }
+
+    /// One try at a node. One that crosses a close is sent again, once.
+    async fn attempt(&self, node: usize, n: usize, due: Ms) -> Answer {
+        for again in [true, false] {
+            let Ok(connection) = self.connection(node).await else { return Answer::Gone };
+            match self.send(&connection, n, due).await {
+                Some(answer) => return answer,
+                None if again => {}
+                None => break,
+            }
+        }
+        Answer::Gone
+    }
+
+    /// Writes a try and waits for its answer; none where it crossed a close.
+    async fn send(&self, connection: &Rc<Connection>, n: usize, due: Ms) -> Option<Answer> {
+        let (world, node) = (&self.world, connection.node);
+        let txn = (1 << 40) + self.tries.replace(self.tries.get() + 1);
+        let id = connection.next.replace(connection.next.get() + 1);
+        let ask = &world.plan.asks[n];
+        let class = &world.scenario.classes[ask.class];
+        let now = world.now();
+        let key = class.keyed.then(|| format!("{:032x}", ask.repeats.unwrap_or(n)));
+        let line = wire::Request {
+            id,
+            txn: &format!("{txn:016x}"),
+            class: &class.name,
+            door: world.clock.unix_ms(now),
+            front: self.number,
+            team: &ask.tenant,
+            limit: (due - now).max(1.0) as u64,
+            cpu: ask.hint.max(0.01),
+            ram: ask.kb,
+            key: key.as_deref(),
+            content: &BASE64.encode(world.body(n)),
+        }
+        .to_string();
+        let out = connection.out.borrow().clone()?;
+        let (give, mut answer) = oneshot::channel();
+        let alone = connection.open.borrow().is_empty();
+        connection.used.set(now);
+        connection.open.borrow_mut().insert(id, Open { txn, wrote: now, alone, give: Some(give) });
+        world.writes(txn, Written { n, node });
+        world.note(Event::Wrote { txn, n, node, front: self.number, due });
+        self.doors[node].interpreter.holds(txn, ask.kb);
+        world.happened(node, Happening::Written);
+        // Where the connection has ended meanwhile, its end answers.
+        let _ = out.send(line).await;
+        let listens = due + world.scenario.rules.slack_ms + LISTENS;
+        tokio::select! {
+            biased;
+            answer = &mut answer => answer.ok(),
+            () = world.clock.until(listens) => {
+                world.note(Event::Withdrew { txn });
+                self.doors[node].interpreter.over(txn);
+                if let Some(open) = connection.open.borrow_mut().get_mut(&id) {
+                    open.give = None;
+                }
+                // The connection may have ended.
+                let _ = out.try_send(wire::withdraw(id));
+                Some(Answer::Silent)
+            }
+        }
+    }
+
+    /// A connection with room, new if there is none.
+    async fn connection(&self, node: usize) -> std::io::Result<Rc<Connection>> {
+        let fits = |c: &&Rc<Connection>| c.node == node && !c.leaving.get() && c.open.borrow().len() < OPEN;
+        if let Some(kept) = self.connections.borrow().iter().rfind(fits) {
+            return Ok(kept.clone());
+        }
+        let door = &self.doors[node];
+        let address = (*door.address.borrow()).ok_or(std::io::ErrorKind::ConnectionRefused)?;
+        let stream = door.lines[self.number].open(address).await?;
+        self.world.note(Event::Connected { node, front: self.number });
+        door.interpreter.connected();
+        let (out, lines) = mpsc::channel(UNWRITTEN);
+        let connection = Rc::new(Connection {
+            node,
+            out: RefCell::new(Some(out)),
+            open: RefCell::default(),
+            answered: RefCell::default(),
+            next: Cell::new(1),
+            used: Cell::new(self.world.now()),
+            leaving: Cell::new(false),
+        });
+        self.connections.borrow_mut().push(connection.clone());
+        let (world, interpreter) = (self.world.clone(), door.interpreter.clone());
+        spawn_local(connection.clone().talk(world, interpreter, stream, lines));
+        Ok(connection)
+    }
+
+    /// Closes connections that are idle, and forgets those that have ended; for as long as the play.
+    pub async fn tidy(self: Rc<Self>) {
+        let idle = self.world.scenario.fronts.idle_s * 1000.0;
+        loop {
+            let now = self.world.now();
+            for connection in self.connections.borrow().iter() {
+                let over = connection.leaving.get() || now - connection.used.get() > idle;
+                if over && connection.open.borrow().is_empty() {
+                    connection.leaving.set(true);
+                    connection.out.borrow_mut().take();
+                }
+            }
+            self.connections.borrow_mut().retain(|connection| connection.out.borrow().is_some());
+            self.world.clock.until(now + 250.0).await;
+        }
+    }
+
+    /// It restarts: its connections end, and what was open on them is given up.
+    pub fn restart(&self) {
+        for connection in self.connections.borrow_mut().drain(..) {
+            connection.leaving.set(true);
+            connection.out.borrow_mut().take();
+            for open in std::mem::take(&mut *connection.open.borrow_mut()).into_values() {
+                self.world.note(Event::Withdrew { txn: open.txn });
+                self.doors[connection.node].interpreter.over(open.txn);
+                if let Some(give) = open.give {
+                    // Its client may have given up.
+                    let _ = give.send(Answer::Gone);
+                }
+            }
+        }
+        self.habits.borrow_mut().restart();
+    }
+}
+
+impl Connection {
+    /// Writes and reads until either end is done.
+    async fn talk(
+        self: Rc<Self>,
+        world: Rc<World>,
+        interpreter: Rc<Interpreter>,
+        stream: DuplexStream,
+        mut lines: mpsc::Receiver<String>,
+    ) {
+        let (reader, mut writer) = tokio::io::split(stream);
+        let mut input = BufReader::new(reader);
+        let writing = async {
+            while let Some(line) = lines.recv().await {
+                if writer.write_all(line.as_bytes()).await.is_err() {
+                    break;
+                }
+            }
+        };
+        let reading = async {
+            loop {
+                let mut line = String::new();
+                match (&mut input).take(LONGEST).read_line(&mut line).await {
+                    Ok(length) if length > 0 => self.heard(&world, &interpreter, line.trim_end()),
+                    _ => return,
+                }
+            }
+        };
+        tokio::select! {
+            () = writing => {}
+            () = reading => {}
+        }
+        self.leaving.set(true);
+        self.out.borrow_mut().take();
+        let now = world.now();
+        for open in std::mem::take(&mut *self.open.borrow_mut()).into_values() {
+            interpreter.over(open.txn);
+            let Some(give) = open.give else { continue };
+            let answered = !self.answered.borrow().is_empty();
+            let crossed = answered && open.alone && now - open.wrote <= CROSSING;
+            let why = match (crossed, answered) {
+                (true, _) => Drop::Crossed,
+                (false, true) => Drop::Used,
+                (false, false) => Drop::Fresh,
+            };
+            world.note(Event::Dropped { txn: open.txn, why });
+            if !crossed {
+                // Its client may have given up.
+                let _ = give.send(Answer::Gone);
+            }
+        }
+    }
+
+    fn heard(&self, world: &World, interpreter: &Interpreter, line: &str) {
+        self.used.set(world.now());
+        let (id, kind, answer) = match wire::said(line) {
+            Said::Draining => return self.leaving.set(true),
+            Said::Served(id, content) => {
+                match BASE64.decode(&content).ok().and_then(|bytes| String::from_utf8(bytes).ok()) {
+                    Some(result) => {
+                        let poorer = result.ends_with(" poorer");
+                        (id, Kind::Served(result), Answer::Served { poorer })
+                    }
+                    None => return self.stray(world, None, line),
+                }
+            }
+            Said::Refused(id, later, giveup) => {
+                (id, Kind::Refused { later, giveup }, Answer::Refused { later, giveup })
+            }
+            Said::Failed(id) => (id, Kind::Failed, Answer::Failed),
+            Said::Status(..) | Said::Noise => return self.stray(world, None, line),
+        };
+        let Some(open) = self.open.borrow_mut().remove(&id) else {
+            let txn = self.answered.borrow().get(&id).copied();
+            return self.stray(world, txn, line);
+        };
+        self.answered.borrow_mut().insert(id, open.txn);
+        if matches!(kind, Kind::Served(_)) {
+            world.happened(self.node, Happening::Served);
+        }
+        world.note(Event::Answered { txn: open.txn, kind });
+        interpreter.over(open.txn);
+        if let Some(give) = open.give {
+            // Its client may have given up.
+            let _ = give.send(answer);
+        }
+    }
+
+    fn stray(&self, world: &World, txn: Option<u64>, line: &str) {
+        let text = line.chars().take(200).collect();
+        world.note(Event::Stray { node: self.node, txn, text });
+    }
+}
--- /dev/null
+++ b/rig/src/wire.rs
@@ -0,0 +1,206 @@
+//! What is said on the program's links, as text: shared by the rig's stand-ins and the tests of the network code.
+
+use std::fmt::{self, Display, Formatter};
+
+use serde::Deserialize;
+
+/// What a connection is told that is to end.
+pub const DRAINING: &str = r#"{"jsonrpc":"2.0","method":"draining"}"#;
+
+/// A health check.
+pub const STATUS: &str = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"status\"}\n";
+
+/// A request as a front end writes it, one line with its end.
+#[derive(Debug, Clone, Copy)]
+pub struct Request<'a> {
+    /// Its id on the connection.
+    pub id: u64,
+    /// Its id everywhere.
+    pub txn: &'a str,
+    /// Its class.
+    pub class: &'a str,
+    /// When it came to the machine, in Unix milliseconds.
+    pub door: u64,
+    /// The front end's number.
+    pub front: usize,
+    /// The tenant.
+    pub team: &'a str,
+    /// How long the front end waits, in milliseconds.
+    pub limit: u64,
+    /// The work to expect, in milliseconds.
+    pub cpu: f64,
+    /// The memory that it takes while held, in KB.
+    pub ram: f64,
+    /// The key, in keyed classes.
+    pub key: Option<&'a str>,
+    /// The body in base64.
+    pub content: &'a str,
+}
+
+impl Display for Request<'_> {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let Request { id, txn, class, door, front, team, limit, cpu, ram, key, content } = self;
+        write!(
+            f,
+            r#"{{"jsonrpc":"2.0","id":{id},"method":"{class}","params":{{"txn":"{txn}","door":{door},"lb":{front},"#
+        )?;
+        write!(f, r#""team":"{team}","limit":{limit},"cpu":{cpu:.2},"ram":{ram:.1},"standing":0.5,"#)?;
+        if let Some(key) = key {
+            write!(f, r#""unique":"{key}","#)?;
+        }
+        writeln!(f, r#""content":"{content}"}}}}"#)
+    }
+}
+
+/// The word that a front end no longer waits for a request.
+pub fn withdraw(id: u64) -> String {
+    format!("{{\"jsonrpc\":\"2.0\",\"method\":\"withdraw\",\"params\":{{\"id\":{id}}}}}\n")
+}
+
+/// An interpreter's word that a run is over.
+pub fn value(notice: u64, txn: &str, end: &str, ms: u64, result: &str) -> String {
+    format!("VALUE {notice} {txn} {end} {ms} {}\r\n{result}\r\n", result.len())
+}
+
+/// An interpreter's word that a run waits for a call.
+pub fn await_call(notice: u64, txn: &str, body: &str) -> String {
+    format!("AWAIT {notice} {txn} {}\r\n{body}\r\n", body.len())
+}
+
+/// An interpreter's answer to `CONNECT`.
+pub fn banner(cold: bool, up_for_ms: u64) -> String {
+    format!("BANNER {} {up_for_ms}\r\n", if cold { "fresh" } else { "seasoned" })
+}
+
+/// An interpreter's gauges.
+pub fn tops(tag: &str, gauges: &[f64]) -> String {
+    let values: Vec<String> = gauges.iter().map(|value| format!("{value:.4}")).collect();
+    format!("TOPS {tag} {}\r\n", values.join(" "))
+}
+
+/// The length that ends a line of words, if its kind has a body.
+pub fn body_length(words: &[&str]) -> Option<usize> {
+    let bodied = matches!(words.first(), Some(&("APPLY" | "RESOLVE" | "GET")));
+    words.last().filter(|_| bodied)?.parse().ok()
+}
+
+/// What a node says to a front end.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Said {
+    /// A result: the request's id, and the result in base64.
+    Served(u64, String),
+    /// A refusal, with its advice.
+    Refused(u64, Option<f64>, bool),
+    /// Any other error.
+    Failed(u64),
+    /// A good or a bad health check.
+    Status(u64, bool),
+    /// Nothing new is to be sent on this connection.
+    Draining,
+    /// What is none of these.
+    Noise,
+}
+
+#[derive(Deserialize)]
+struct Message {
+    #[serde(default)]
+    id: Option<u64>,
+    #[serde(default)]
+    method: Option<String>,
+    #[serde(default)]
+    result: Option<Answered>,
+    #[serde(default)]
+    error: Option<Problem>,
+}
+
+#[derive(Deserialize)]
+struct Answered {
+    #[serde(default)]
+    content: Option<String>,
+    #[serde(default)]
+    up: Option<bool>,
+}
+
+#[derive(Deserialize)]
+struct Problem {
+    code: i64,
+    #[serde(default)]
+    data: Advice,
+}
+
+#[derive(Deserialize, Default)]
+struct Advice {
+    #[serde(default)]
+    later: Option<f64>,
+    #[serde(default)]
+    giveup: u8,
+}
+
+/// The code of a refusal.
+const REFUSED: i64 = -32011;
+
+/// Reads a line of a node's.
+pub fn said(line: &str) -> Said {
+    let Ok(message) = serde_json::from_str::<Message>(line) else { return Said::Noise };
+    if message.method.as_deref() == Some("draining") {
+        return Said::Draining;
+    }
+    match (message.id, message.result, message.error) {
+        (Some(id), Some(Answered { content: Some(content), .. }), None) => Said::Served(id, content),
+        (Some(id), Some(Answered { up: Some(up), .. }), None) => Said::Status(id, up),
+        (Some(id), None, Some(Problem { code: REFUSED, data })) => {
+            Said::Refused(id, data.later, data.giveup == 1)
+        }
+        (Some(id), None, Some(_)) => Said::Failed(id),
+        _ => Said::Noise,
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_a_node_says_is_told_apart() {
+        let cases = [
+            (r#"{"jsonrpc":"2.0","id":7,"result":{"content":"cg=="}}"#, Said::Served(7, "cg==".into())),
+            (
+                r#"{"jsonrpc":"2.0","id":7,"error":{"code":-32011,"message":"not now","data":{"later":250,"giveup":1}}}"#,
+                Said::Refused(7, Some(250.0), true),
+            ),
+            (
+                r#"{"jsonrpc":"2.0","id":7,"error":{"code":-32011,"message":"not now"}}"#,
+                Said::Refused(7, None, false),
+            ),
+            (r#"{"jsonrpc":"2.0","id":7,"error":{"code":-32001,"message":"out of time"}}"#, Said::Failed(7)),
+            (r#"{"jsonrpc":"2.0","id":1,"result":{"up":true}}"#, Said::Status(1, true)),
+            (DRAINING, Said::Draining),
+            (r#"{"jsonrpc":"2.0","id":7}"#, Said::Noise),
+            ("HTTP/1.1 200 OK", Said::Noise),
+        ];
+        for (line, wanted) in cases {
+            assert_eq!(said(line), wanted, "{line}");
+        }
+    }
+
+    #[test]
+    fn a_request_is_one_line_of_json() {
+        let request = Request {
+            id: 3,
+            txn: "a1",
+            class: "book",
+            door: 5,
+            front: 1,
+            team: "acme",
+            limit: 300,
+            cpu: 1.5,
+            ram: 24.5,
+            key: Some("k"),
+            content: "Ym9keQ==",
+        };
+        let text = request.to_string();
+        let json: serde_json::Value = serde_json::from_str(&text).unwrap();
+        assert_eq!((json["params"]["unique"].as_str(), json["method"].as_str()), (Some("k"), Some("book")));
+        assert!(text.ends_with("}\n") && text.lines().count() == 1);
+    }
+}
--- /dev/null
+++ b/rig/src/world.rs
@@ -0,0 +1,149 @@
+//! What all parts of a play share: its clock, its plan, what was seen, and who waits for what.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use crate::clock::Clock;
+use crate::history::{ClassTerms, Event, History, Seen, Terms};
+use crate::model::Ms;
+use crate::plan::Plan;
+use crate::scenario::{Happening, Scenario};
+
+/// A request that was written to a node, as the interpreter may be told of it.
+#[derive(Debug, Clone, Copy)]
+pub struct Written {
+    /// The request.
+    pub n: usize,
+    /// The node.
+    pub node: usize,
+}
+
+/// Called with the node, what it did, and how often it has by now.
+type Listener = Box<dyn Fn(usize, Happening, u64)>;
+
+/// One play.
+pub struct World {
+    /// Its clock; everything in the play tells time by it.
+    pub clock: Clock,
+    /// When the load began, on that clock.
+    pub begun: Cell<Ms>,
+    /// The scenario.
+    pub scenario: Scenario,
+    /// What it came to.
+    pub plan: Plan,
+    /// The seed.
+    pub seed: u64,
+    seen: RefCell<Vec<Seen>>,
+    written: RefCell<HashMap<u64, Written>>,
+    counts: RefCell<HashMap<(usize, Happening), u64>>,
+    listener: RefCell<Option<Listener>>,
+}
+
+impl World {
+    /// A play that begins now.
+    pub fn new(scenario: Scenario, plan: Plan, seed: u64) -> Rc<World> {
+        Rc::new(World {
+            clock: Clock::begin(),
+            begun: Cell::new(0.0),
+            scenario,
+            plan,
+            seed,
+            seen: RefCell::default(),
+            written: RefCell::default(),
+            counts: RefCell::default(),
+            listener: RefCell::default(),
+        })
+    }
+
+    /// Now.
+    pub fn now(&self) -> Ms {
+        self.clock.now()
+    }
+
+    /// Keeps what was seen.
+    pub fn note(&self, what: Event) {
+        self.seen.borrow_mut().push(Seen { t: self.now(), what });
+    }
+
+    /// A try is about to be written.
+    pub fn writes(&self, txn: u64, written: Written) {
+        self.written.borrow_mut().insert(txn, written);
+    }
+
+    /// What is known of a try.
+    pub fn written(&self, txn: u64) -> Option<Written> {
+        self.written.borrow().get(&txn).copied()
+    }
+
+    /// Whom to tell of what nodes do.
+    pub fn listen(&self, listener: impl Fn(usize, Happening, u64) + 'static) {
+        *self.listener.borrow_mut() = Some(Box::new(listener));
+    }
+
+    /// Ends the telling, and with it what the listener holds.
+    pub fn deafen(&self) {
+        self.listener.borrow_mut().take();
+    }
+
+    /// A node has done something.
+    pub fn happened(&self, node: usize, what: Happening) {
+        let count = {
+            let mut counts = self.counts.borrow_mut();
+            let count = counts.entry((node, what)).or_default();
+            *count += 1;
+            *count
+        };
+        if let Some(listener) = &*self.listener.borrow() {
+            listener(node, what, count);
+        }
+    }
+
+    /// The body of a request: its number, work and class, which is all that the interpreter goes by.
+    pub fn body(&self, n: usize) -> String {
+        let ask = &self.plan.asks[n];
+        // Repeats carry the body of the request that they repeat.
+        let n = ask.repeats.unwrap_or(n);
+        format!("{n} {:.3} {}", ask.work, self.scenario.classes[ask.class].name)
+    }
+
+    /// The history so far; times count from when the load began.
+    pub fn history(&self) -> History {
+        let begun = self.begun.get();
+        let mut seen = std::mem::take(&mut *self.seen.borrow_mut());
+        for entry in &mut seen {
+            entry.t -= begun;
+            match &mut entry.what {
+                Event::Wrote { due, .. } => *due -= begun,
+                Event::Fault { until, .. } => *until -= begun,
+                _ => {}
+            }
+        }
+        History { terms: terms(&self.scenario, self.seed), seen }
+    }
+}
+
+/// The terms that a scenario is checked by.
+pub fn terms(scenario: &Scenario, seed: u64) -> Terms {
+    let classes = scenario.classes.iter().map(|class| ClassTerms {
+        name: class.name.clone(),
+        aim: class.aim_ms as f64,
+        deadline: class.deadline_ms as f64,
+        window: if class.keyed { class.window_ms as f64 } else { 0.0 },
+        worth: class.worth * class.work_ms,
+        late_worth: class.late_worth,
+        skip_worth: class.skip_worth,
+    });
+    Terms {
+        scenario: scenario.name.clone(),
+        seed,
+        seconds: scenario.seconds,
+        nodes: scenario.fleet.nodes,
+        classes: classes.collect(),
+        once: scenario.rules.once,
+        slack: scenario.rules.slack_ms,
+        drain_grace: crate::settings::DRAIN_GRACE_MS,
+        sockets: scenario.fleet.sockets,
+        memory_kb: scenario.fleet.memory_mb * 1024,
+    }
+}
--- /dev/null
+++ b/rig/tests/mutants.rs
@@ -0,0 +1,61 @@
+//! The checker finds what breaks on sockets: a plain node plays the program, with one fault at a time.
+
+use std::path::PathBuf;
+
+use oakwind_rig::check::{check, Rule};
+use oakwind_rig::machine::{Build, Programs};
+use oakwind_rig::play::{play, Options};
+use oakwind_rig::scenario::Scenario;
+
+/// Deadlines are long and the load is small: no verdict hangs on the machine's speed.
+const SCENARIO: &str = "name = 'mutants'\nseconds = 2\n[fleet]\nnodes = 3\n[rules]\nslack_ms = 4000\n\
+    [[class]]\nname = 'quote'\nshare = 1\nwork_ms = 10\naim_ms = 900\ndeadline_ms = 1500\n\
+    [[class]]\nname = 'book'\nshare = 1\nwork_ms = 10\nkeyed = true\nwindow_ms = 60000\naim_ms = 900\ndeadline_ms = 1500\n\
+    [load]\nrate = 60\nrepeats = 1.0\nrepeat_after_ms = [50, 400]\n\
+    [fronts]\ncount = 2\nretries = 0\nclient_retries = 0\nlist_late_ms = [0, 0]\n";
+
+fn rules_broken_by(mutant: &str) -> Vec<Rule> {
+    let scenario = Scenario::parse(SCENARIO, &[]).unwrap();
+    let path = PathBuf::from(env!("CARGO_BIN_EXE_oakwind-rig"));
+    let default = Build { path, arguments: vec!["--mutant".into(), mutant.into()] };
+    let programs = Programs { default, others: Default::default() };
+    let options = Options { seed: None, programs, out: None, progress: false };
+    let verdict = check(&play(&scenario, &options).unwrap());
+    assert!(verdict.written > 100, "{mutant}: {} written", verdict.written);
+    verdict.by_rule().into_keys().collect()
+}
+
+#[test]
+fn a_node_without_a_fault_breaks_no_rule() {
+    assert_eq!(rules_broken_by(""), []);
+}
+
+#[test]
+fn a_node_that_forgets_its_keys_runs_them_twice() {
+    assert_eq!(rules_broken_by("runs-twice"), [Rule::RunTwice]);
+}
+
+#[test]
+fn a_node_that_gives_no_answer_loses_requests() {
+    assert_eq!(rules_broken_by("loses-answers"), [Rule::Lost]);
+}
+
+#[test]
+fn a_node_that_answers_again_is_heard() {
+    assert_eq!(rules_broken_by("answers-twice"), [Rule::AnsweredTwice]);
+}
+
+#[test]
+fn a_node_that_refuses_what_ran_breaks_its_promise() {
+    assert_eq!(rules_broken_by("refuses-what-ran"), [Rule::RefusedAndRan]);
+}
+
+#[test]
+fn a_node_that_mixes_results_up_is_found_out() {
+    assert_eq!(rules_broken_by("mixes-results"), [Rule::ForeignResult]);
+}
+
+#[test]
+fn a_body_that_is_changed_on_its_way_is_seen_by_the_interpreter() {
+    assert!(rules_broken_by("changes-bodies").contains(&Rule::Spoilt));
+}
