--- a/node/tests/sockets/helper.rs
+++ b/node/tests/sockets/helper.rs
@@ -4,13 +4,14 @@
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Output, Stdio};
+use std::process::{Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc::{channel, Receiver};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
-/// What a connection is told that is to end.
-pub const DRAINING: &str = r#"{"jsonrpc":"2.0","method":"draining"}"#;
+use oakwind_rig::process::{Program, Signal};
+pub use oakwind_rig::wire::DRAINING;
+use oakwind_rig::wire::{self, STATUS};
 
 const GUARD: Duration = Duration::from_secs(60);
 
@@ -29,8 +30,8 @@
   "limits": {"maxRetryAfter": 1000000, "retryAfter": true},
   "tenants": [{"name": "acme", "quotaPerS": 100.0}], "servers": 1, "tick": 4000}"#;
 
-pub fn now_ms() -> u128 {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis()
+pub fn now_ms() -> u64 {
+    oakwind_rig::clock::unix_now().as_millis() as u64
 }
 
 /// A file for one test, in cargo's own folder.
@@ -62,7 +63,7 @@
 
 /// The program at work.
 pub struct Node {
-    child: Child,
+    program: Program,
     log: Receiver<String>,
     said: Vec<String>,
     /// Its configuration, and its uwsgi file if it has one.
@@ -103,11 +104,10 @@
         if let Some(folder) = folder {
             command.env("TMPDIR", folder);
         }
-        let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
-        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
         let (say, log) = channel();
-        std::thread::spawn(move || lines.map_while(Result::ok).try_for_each(|line| say.send(line)));
-        Node { child, log, said: Vec::new(), files, json: ([127, 0, 0, 1], 0).into() }
+        // A test that is over reads no more.
+        let program = Program::start(&mut command, move |line| drop(say.send(line))).unwrap();
+        Node { program, log, said: Vec::new(), files, json: ([127, 0, 0, 1], 0).into() }
     }
 
     /// Waits until it takes clients.
@@ -153,7 +153,7 @@
     /// What a health check hears; it comes on its own connection.
     pub fn status(&self) -> &'static str {
         let mut check = self.client();
-        check.say("{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"status\"}\n");
+        check.say(STATUS);
         if check.line().contains("true") {
             "up"
         } else {
@@ -165,19 +165,14 @@
         Peer::connect(self.json)
     }
 
-    fn signal(&self, name: &str) {
-        let killed = Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap();
-        assert!(killed.success());
-    }
-
     pub fn terminate(&self) {
-        self.signal("-TERM");
+        self.program.signal(Signal::TERM).unwrap();
     }
 
     /// Puts another text in the place of its configuration and tells it to read that.
     pub fn reload(&self, config: &str) {
         self.replace(config);
-        self.signal("-HUP");
+        self.program.signal(Signal::HUP).unwrap();
     }
 
     /// The same without telling it.
@@ -188,21 +183,13 @@
     /// The same with its uwsgi file.
     pub fn reload_uwsgi(&self, text: &str) {
         std::fs::write(&self.files[1], text).unwrap();
-        self.signal("-HUP");
+        self.program.signal(Signal::HUP).unwrap();
     }
 
     /// Waits for its end, which must be a clean one.
     pub fn ends(mut self) {
         self.logs("has drained");
-        assert!(self.child.wait().unwrap().success());
-    }
-}
-
-impl Drop for Node {
-    fn drop(&mut self) {
-        // It may have ended already.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        assert!(self.program.wait().unwrap().success());
     }
 }
 
@@ -228,7 +215,7 @@
     pub fn interpreter(&self, notice: &str) -> Peer {
         let mut link = self.accept();
         assert_eq!(link.line(), format!("CONNECT {notice}"));
-        link.say("BANNER seasoned 10\r\n");
+        link.say(wire::banner(false, 10));
         link
     }
 
@@ -314,13 +301,14 @@
         while Instant::now() < guard {
             let line = self.line();
             let words: Vec<String> = line.split(' ').map(String::from).collect();
-            match &words[0][..] {
-                "TOP" => self.say(format!("TOPS {} 0.5 1 0.1 3\r\n", words[1])),
-                "APPLY" | "RESOLVE" | "GET" => {
-                    let body = self.bytes(words.last().unwrap().parse::<usize>().unwrap() + 2);
-                    return (words, String::from_utf8_lossy(&body[..body.len() - 2]).into_owned());
+            let named: Vec<&str> = words.iter().map(String::as_str).collect();
+            match wire::body_length(&named) {
+                Some(length) => {
+                    let body = self.bytes(length + 2);
+                    return (words, String::from_utf8_lossy(&body[..length]).into_owned());
                 }
-                _ => return (words, String::new()),
+                None if words[0] == "TOP" => self.say(wire::tops(&words[1], &[0.5, 1.0, 0.1, 3.0])),
+                None => return (words, String::new()),
             }
         }
         panic!("no command comes");
@@ -334,7 +322,7 @@
     }
 
     pub fn value(&mut self, notice: u32, id: &str, end: &str, result: &str) {
-        self.say(format!("VALUE {notice} {id} {end} 5 {}\r\n{result}\r\n", result.len()));
+        self.say(wire::value(notice.into(), id, end, 5, result));
     }
 
     /// As a front end: a request. The body is `body` in base64; a key makes it a `book`.
@@ -351,12 +339,20 @@
 
 /// A request of any class, as a front end writes it.
 pub fn request(id: u32, txn: &str, class: &str, key: Option<&str>, limit_ms: u32) -> String {
-    let unique = key.map_or(String::new(), |key| format!(r#""unique":"{key}","#));
-    let door = now_ms();
-    format!(
-        r#"{{"jsonrpc":"2.0","id":{id},"method":"{class}","params":{{"txn":"{txn}","door":{door},"lb":1,"team":"acme","limit":{limit_ms},"cpu":1.5,"ram":24.5,"standing":0.5,{unique}"content":"Ym9keQ=="}}}}
-"#
-    )
+    let request = wire::Request {
+        id: id.into(),
+        txn,
+        class,
+        door: now_ms(),
+        front: 1,
+        team: "acme",
+        limit: limit_ms.into(),
+        cpu: 1.5,
+        ram: 24.5,
+        key,
+        content: "Ym9keQ==",
+    };
+    request.to_string()
 }
 
 /// A uwsgi file with nothing but the front.
