Put relays between the rig's nodes, shown on VRRP, and end every process where the rig is terminated

Need: faults between nodes could not be played, as the rig's lines went to peers outside the fleet only. VRRP is the one thing that nodes say to each other today.

Each ordered pair of nodes has a line of its own for datagrams; a partition leaves those that are cut off together in touch. Scenario router: a zone is cut off, later the active node stands still. A rule of its own: two nodes with the role for over two intervals though they can hear each other; its history is turned down in a test.

--- a/node/tests/fleet.rs
+++ b/node/tests/fleet.rs
@@ -91,3 +91,10 @@
     let fronts = "{at_s = 3, what = 'fronts', part = 0.7}";
     keeps_the_rules("calm", &[("fault", &format!("[{reset}, {fronts}]"))]);
 }
+
+#[test]
+fn a_virtual_router_is_cut_in_two_and_then_its_active_node_stands_still() {
+    let times = [SOON, ("fault.0.for_s", "1.5"), ("fault.1.at_s", "5"), ("fault.1.for_s", "1.5")];
+    let longer = [("seconds", "8"), ("fleet.vrrp.interval_ms", "100")];
+    keeps_the_rules("router", &[&times[..], &longer[..]].concat());
+}
--- a/rig/src/check.rs
+++ b/rig/src/check.rs
@@ -3,11 +3,11 @@
 //! A request is excused from being lost where the rig itself was in the way: its node was killed or stood still, its
 //! link was disturbed, or the rig ran late, at some moment between the request's writing and its due time.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use serde::Serialize;
 
-use crate::history::{Drop, Event, History, Kind, Way};
+use crate::history::{Drop, Event, History, Kind, Terms, Way};
 use crate::model::Ms;
 use crate::scenario::Once;
 
@@ -35,6 +35,8 @@
     LimitPassed,
     /// The program ended by itself.
     Crashed,
+    /// Two nodes had the role of the virtual router for too long, though they could hear each other.
+    TwoActive,
 }
 
 /// One breach of a rule.
@@ -136,6 +138,7 @@
     let mut checker = Checker::default();
     for seen in &history.seen {
         checker.take(history, seen.t, &seen.what);
+        checker.roles(&history.terms, seen.t, &seen.what);
     }
     checker.finish(history)
 }
@@ -153,6 +156,11 @@
     notices: HashMap<usize, Ms>,
     excuses: Excuses,
     twice_in_fleet: usize,
+    active: BTreeSet<usize>,
+    peers_disturbed: usize,
+    standing_still: BTreeSet<usize>,
+    /// Since when two have the role though they can hear each other.
+    two_since: Option<Ms>,
     passed: HashMap<(usize, &'static str), ()>,
 }
 
@@ -161,6 +169,31 @@
         self.breaches.push(Breach { t, rule, text });
     }
 
+    /// Watches who has the role of the virtual router.
+    fn roles(&mut self, terms: &Terms, t: Ms, event: &Event) {
+        match event {
+            Event::Role { node, active: true } => drop(self.active.insert(*node)),
+            Event::Role { node, active: false } | Event::Down { node, .. } => drop(self.active.remove(node)),
+            Event::Still { node, still: true } => drop(self.standing_still.insert(*node)),
+            Event::Still { node, still: false } => drop(self.standing_still.remove(node)),
+            Event::Peers { on: true } => self.peers_disturbed += 1,
+            Event::Peers { on: false } => self.peers_disturbed = self.peers_disturbed.saturating_sub(1),
+            _ => {}
+        }
+        let apart = self.peers_disturbed > 0 || !self.standing_still.is_empty();
+        if apart || self.active.len() < 2 {
+            self.two_since = None;
+            return;
+        }
+        let since = *self.two_since.get_or_insert(t);
+        if t - since > terms.two_active {
+            let names: Vec<String> = self.active.iter().map(|node| format!("n{}", node + 1)).collect();
+            self.breach(t, Rule::TwoActive, format!("{} are all active", names.join(" and ")));
+            // Told once, until it is over.
+            self.two_since = Some(f64::INFINITY);
+        }
+    }
+
     fn memory(&self, node: usize) -> usize {
         self.memories.get(&node).copied().unwrap_or(0)
     }
@@ -246,7 +279,7 @@
                 );
             }
             Event::Late { by } => self.excuses.late.0.push((t - by, t)),
-            Event::Over { .. } | Event::Fault { .. } => {}
+            Event::Over { .. } | Event::Fault { .. } | Event::Peers { .. } | Event::Role { .. } => {}
         }
     }
 
@@ -408,7 +441,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::history::{ClassTerms, Seen, Terms};
+    use crate::history::{ClassTerms, Seen};
 
     fn terms(once: Once) -> Terms {
         let class = |name: &str, window| ClassTerms {
@@ -431,6 +464,7 @@
             drain_grace: 2000.0,
             sockets: 100,
             memory_kb: 1000,
+            two_active: 500.0,
         }
     }
 
@@ -615,6 +649,22 @@
         assert_eq!(broken_in(Once::Fleet, then(elsewhere)), [], "the fleet's is as good");
     }
 
+    #[test]
+    fn two_with_the_role_of_one_router_are_told_unless_they_could_not_hear_each_other() {
+        let role = |node, active| Event::Role { node, active };
+        let two = |more: Vec<(Ms, Event)>| {
+            let begin = vec![(0.0, role(0, true)), (100.0, role(1, true))];
+            broken(begin.into_iter().chain(more).collect())
+        };
+        assert_eq!(two(vec![]), [Rule::TwoActive]);
+        assert_eq!(two(vec![(500.0, role(1, false))]), []);
+        assert_eq!(two(vec![(500.0, Event::Down { node: 0, way: Way::Killed })]), []);
+        let apart = || vec![(200.0, Event::Peers { on: true }), (9000.0, Event::Peers { on: false })];
+        assert_eq!(two(apart()), [Rule::TwoActive], "still two long after they hear each other again");
+        assert_eq!(two(apart().into_iter().chain([(9300.0, role(1, false))]).collect()), []);
+        assert_eq!(two(vec![(200.0, Event::Still { node: 0, still: true })]), []);
+    }
+
     #[test]
     fn limits_crashes_and_spoilt_commands_are_told() {
         let sample = |rss_kb, files| Event::Sample { node: 0, rss_kb, files, cpu_ms: 1 };
--- a/rig/src/clock.rs
+++ b/rig/src/clock.rs
@@ -29,8 +29,11 @@
         (self.unix.as_secs_f64() * 1000.0 + at).max(0.0) as u64
     }
 
-    /// Waits until then.
+    /// Waits until then. What is due already is not held up for the timer's next millisecond.
     pub async fn until(&self, at: Ms) {
+        if at <= self.now() {
+            return;
+        }
         if at.is_finite() {
             tokio::time::sleep_until(self.start + Duration::from_secs_f64(at.max(0.0) / 1000.0)).await;
         } else {
--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -53,6 +53,9 @@
     pub sockets: u64,
     /// Memory that a program may take, in KB.
     pub memory_kb: u64,
+    /// Two nodes may both have the role of the virtual router for so long, once nothing keeps them from hearing each
+    /// other.
+    pub two_active: Ms,
 }
 
 /// What an answer was.
@@ -241,6 +244,18 @@
         /// Whether it does.
         on: bool,
     },
+    /// Traffic among nodes suffers, or no longer does.
+    Peers {
+        /// Whether it does.
+        on: bool,
+    },
+    /// A node has the role of the virtual router, or no longer has it.
+    Role {
+        /// The node.
+        node: usize,
+        /// Whether it has.
+        active: bool,
+    },
     /// The rig did something to the fleet, which lasts until then.
     Fault {
         /// What.
--- a/rig/src/machine.rs
+++ b/rig/src/machine.rs
@@ -33,6 +33,8 @@
 const WAITING: usize = 64;
 /// A node whose interpreter died is started again so long after.
 const AFTER_FALL: Ms = 2000.0;
+/// What a program logs of its role in the virtual router.
+const ROLE: &str = "vrrp ";
 /// Where JSON-RPC is served, as the program logs it.
 const SERVED_AT: &str = "JSON-RPC is served at ";
 
@@ -102,13 +104,17 @@
     pub members: Line,
     /// Its lines with front ends.
     pub clients: Vec<Line>,
+    /// Its lines with other nodes: which one, to it, and from it.
+    pub peers: RefCell<Vec<(usize, Line, Line)>>,
+    /// The file that makes it one of the virtual router.
+    pub router: RefCell<Option<String>>,
     /// Where it serves; none while it is down.
     pub address: watch::Sender<Option<SocketAddr>>,
     programs: Programs,
     build: RefCell<Option<String>>,
     folder: PathBuf,
     keeps_log: bool,
-    peers: Cell<Option<Peers>>,
+    stand_ins: Cell<Option<Peers>>,
     program: RefCell<Option<Program>>,
     ending: Cell<Option<Ending>>,
     back: RefCell<Option<Return>>,
@@ -143,12 +149,14 @@
             below,
             members,
             clients,
+            peers: RefCell::default(),
+            router: RefCell::default(),
             address: watch::channel(None).0,
             programs: programs.clone(),
             build: RefCell::new(build),
             folder,
             keeps_log,
-            peers: Cell::new(None),
+            stand_ins: Cell::new(None),
             program: RefCell::default(),
             ending: Cell::new(None),
             back: RefCell::default(),
@@ -167,7 +175,7 @@
         let (report_put, mut heard) = mpsc::channel(WAITING);
         spawn_local(self.vm.clone().accept(vm, vm_put));
         spawn_local(self.below.clone().accept(index, index_put));
-        spawn_local(self.members.clone().datagrams(reports, Direction::From, report_put));
+        spawn_local(self.members.clone().datagrams(Rc::new(reports), Direction::From, report_put));
         loop {
             tokio::select! {
                 Some(end) = vm_ends.recv() => drop(spawn_local(self.interpreter.clone().serve(end))),
@@ -200,7 +208,7 @@
         let reports = UdpSocket::bind(any).await?;
         let peers =
             Peers { vm: vm.local_addr()?, index: index.local_addr()?, members: reports.local_addr()? };
-        self.peers.set(Some(peers));
+        self.stand_ins.set(Some(peers));
         Ok((vm, index, reports))
     }
 
@@ -210,14 +218,14 @@
     ///
     /// Where the program can't be started.
     pub async fn begin(self: &Rc<Self>) -> io::Result<()> {
-        while self.peers.get().is_none() {
+        while self.stand_ins.get().is_none() {
             tokio::task::yield_now().await;
         }
         self.start()
     }
 
     fn start(self: &Rc<Self>) -> io::Result<()> {
-        let Some(peers) = self.peers.get() else { return Err(io::ErrorKind::NotConnected.into()) };
+        let Some(peers) = self.stand_ins.get() else { return Err(io::ErrorKind::NotConnected.into()) };
         let seed = self.world.seed.wrapping_mul(1000).wrapping_add(self.node as u64)
             ^ (self.world.now() as u64) << 32;
         let config = self.folder.join("config.json");
@@ -230,6 +238,11 @@
             std::fs::write(&file, settings::remembered(&self.folder.join("remembered")))?;
             command.arg("--remembered").arg(&file);
         }
+        if let Some(router) = &*self.router.borrow() {
+            let file = self.folder.join("uwsgi.toml");
+            std::fs::write(&file, router)?;
+            command.arg("--uwsgi").arg(&file);
+        }
         command.env_remove("TMPDIR").env_remove("BALANCER_CONFIG");
         let (say, mut log) = mpsc::channel::<String>(LOGGED);
         // Once the play is over nobody reads any more.
@@ -246,6 +259,10 @@
                     // A log that can't be kept is not worth the play.
                     let _ = writeln!(file, "{line}");
                 }
+                if line.contains(ROLE) {
+                    let active = line.ends_with(": Active");
+                    machine.world.note(Event::Role { node: machine.node, active });
+                }
                 if let Some((_, address)) = line.split_once(SERVED_AT) {
                     if let Ok(address) = address.trim().parse::<SocketAddr>() {
                         machine.address.send_replace(Some(address));
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -2,11 +2,15 @@
 //! process that it started.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap};
 use std::io;
+use std::net::Ipv4Addr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
+use tokio::net::UdpSocket;
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::mpsc;
 use tokio::task::{spawn_local, LocalSet};
 
 use crate::history::{Event, History};
@@ -14,11 +18,12 @@
 use crate::model::members::Members;
 use crate::model::Ms;
 use crate::plan::{generator, plan, At, Plan, Stream, Strike};
-use crate::relay::Line;
+use crate::relay::{Direction, Line};
 use crate::scenario::{Link, Scenario, Traffic, Way, What};
+use crate::settings;
 use crate::stand::below::Tier;
 use crate::stand::fronts::{Door, FrontEnd, Shared};
-use crate::world::World;
+use crate::world::{own_number, World};
 
 /// All nodes serve within this, or the play does not begin.
 const READY: Ms = 30_000.0;
@@ -31,6 +36,10 @@
 /// The rig looks so often whether it runs late itself, and says so from this on.
 const HEARTBEAT: Ms = 10.0;
 const LATE: Ms = 25.0;
+/// Lines between nodes have numbers from here on, for their random numbers.
+const PEERS: usize = 1 << 16;
+/// Datagrams that wait to be handed on.
+const WAITING: usize = 64;
 /// Pieces of progress: a line every so often.
 const PROGRESS: Ms = 5_000.0;
 
@@ -56,10 +65,12 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let set = LocalSet::new();
     let history = runtime.block_on(set.run_until(async {
-        let interrupted = tokio::signal::ctrl_c();
+        let (mut interrupt, mut terminate) =
+            (signal(SignalKind::interrupt())?, signal(SignalKind::terminate())?);
         tokio::select! {
             played = run(scenario, options) => played,
-            _ = interrupted => Err(io::Error::new(io::ErrorKind::Interrupted, "interrupted; every process is ended")),
+            _ = interrupt.recv() => Err(interrupted()),
+            _ = terminate.recv() => Err(interrupted()),
         }
     }));
     // Tasks hold the machines, and with them the processes.
@@ -67,6 +78,10 @@
     history
 }
 
+fn interrupted() -> io::Error {
+    io::Error::new(io::ErrorKind::Interrupted, "interrupted; every process is ended")
+}
+
 /// The parts of a play.
 struct Stage {
     world: Rc<World>,
@@ -84,6 +99,9 @@
     let own = Folder::new(options.out.as_deref())?;
     let stage = Rc::new(stage(scenario, options, seed, &own.path)?);
     let world = stage.world.clone();
+    if let Some(vrrp) = &scenario.fleet.vrrp {
+        stage.router(vrrp.interval_ms).await?;
+    }
     for machine in &stage.machines {
         machine.begin().await?;
     }
@@ -233,6 +251,58 @@
 }
 
 impl Stage {
+    /// Joins all nodes to one virtual router, each pair by a line each way.
+    async fn router(&self, interval_ms: u64) -> io::Result<()> {
+        let count = self.machines.len();
+        let mut hears = Vec::new();
+        for node in 0..count {
+            // An address of this play's and this node's own: the port that is free there stays free.
+            let own = Ipv4Addr::new(
+                127,
+                100 + (std::process::id() % 100) as u8,
+                (self.world.number % 250) as u8,
+                node as u8 + 1,
+            );
+            hears.push(UdpSocket::bind((own, 0)).await?.local_addr()?);
+        }
+        // For each node, the sockets that stand for the others.
+        let mut stands: Vec<Vec<Rc<UdpSocket>>> = Vec::new();
+        for _ in 0..count {
+            let mut others = Vec::new();
+            for _ in 0..count {
+                others.push(Rc::new(UdpSocket::bind((Ipv4Addr::LOCALHOST, 0)).await?));
+            }
+            stands.push(others);
+        }
+        let mut lines = HashMap::new();
+        let pairs = (0..count).flat_map(|from| (0..count).map(move |to| (from, to)));
+        for (from, to) in pairs.filter(|(from, to)| from != to) {
+            let number = (PEERS + from * count + to) as u64;
+            let line = Line::new(self.world.clock, generator(self.world.seed, Stream::Links, number));
+            lines.insert((from, to), line.clone());
+            // What `from` sends to its stand-in of `to` comes to `to` from its stand-in of `from`.
+            let (put, mut take) = mpsc::channel::<Vec<u8>>(WAITING);
+            spawn_local(line.datagrams(stands[from][to].clone(), Direction::To, put));
+            let (out, address) = (stands[to][from].clone(), hears[to]);
+            spawn_local(async move {
+                while let Some(datagram) = take.recv().await {
+                    // One that is lost is lost.
+                    let _ = out.send_to(&datagram, address).await;
+                }
+            });
+        }
+        for (node, machine) in self.machines.iter().enumerate() {
+            let others = || (0..count).filter(move |other| *other != node);
+            let peers =
+                others().map(|other| stands[node][other].local_addr()).collect::<io::Result<Vec<_>>>()?;
+            *machine.router.borrow_mut() = Some(settings::router(node, interval_ms, hears[node], &peers));
+            let both =
+                others().map(|other| (other, lines[&(other, node)].clone(), lines[&(node, other)].clone()));
+            *machine.peers.borrow_mut() = both.collect();
+        }
+        Ok(())
+    }
+
     /// Does what a fault does, and sees to its end.
     fn strike(self: &Rc<Self>, strike: &Strike) {
         let (world, fault) = (&self.world, &strike.fault);
@@ -306,7 +376,7 @@
     /// Disturbs lines of the nodes struck, until then.
     fn disturb(self: &Rc<Self>, strike: &Strike, between: &[Link], way: Way, traffic: &Traffic, until: Ms) {
         let number = self.number.replace(self.number.get() + 1);
-        let mut lines = Vec::new();
+        let (mut lines, mut peers) = (Vec::new(), Vec::new());
         for node in &strike.whom {
             let Some(machine) = self.machines.get(*node) else { continue };
             for link in between {
@@ -326,7 +396,20 @@
                     Link::Vm => lines.push((machine.vm.clone(), None)),
                     Link::Below => lines.push((machine.below.clone(), None)),
                     Link::Members => lines.push((machine.members.clone(), None)),
-                    Link::Peers => {}
+                    Link::Peers => {
+                        for (other, to, from) in &*machine.peers.borrow() {
+                            // Those that are cut off together hear each other.
+                            if strike.fault.what == What::Partition && strike.whom.contains(other) {
+                                continue;
+                            }
+                            let ways = [(to, way != Way::From), (from, way != Way::To)];
+                            peers.extend(
+                                ways.into_iter()
+                                    .filter(|(_, suffers)| *suffers)
+                                    .map(|(line, _)| line.clone()),
+                            );
+                        }
+                    }
                 }
             }
         }
@@ -337,11 +420,20 @@
         };
         told(true, &self.world, &lines);
         lines.iter().for_each(|(line, _)| line.disturb(number, way, traffic));
+        // A line between nodes has one way.
+        peers.iter().for_each(|line| line.disturb(number, Way::Both, traffic));
+        if !peers.is_empty() {
+            self.world.note(Event::Peers { on: true });
+        }
         let world = self.world.clone();
         spawn_local(async move {
             world.clock.until(until).await;
             lines.iter().for_each(|(line, _)| line.mend(number));
+            peers.iter().for_each(|line| line.mend(number));
             told(false, &world, &lines);
+            if !peers.is_empty() {
+                world.note(Event::Peers { on: false });
+            }
         });
     }
 
@@ -405,8 +497,7 @@
         let (path, kept) = match out {
             Some(out) => (out.to_path_buf(), true),
             None => {
-                static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
-                let number = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+                let number = own_number();
                 (std::env::temp_dir().join(format!("oakwind-rig-{}-{number}", std::process::id())), false)
             }
         };
--- a/rig/src/relay.rs
+++ b/rig/src/relay.rs
@@ -227,7 +227,12 @@
     }
 
     /// Carries datagrams that come to a socket one way. Ends where nobody takes them any more.
-    pub async fn datagrams(self, socket: UdpSocket, direction: Direction, deliver: mpsc::Sender<Vec<u8>>) {
+    pub async fn datagrams(
+        self,
+        socket: Rc<UdpSocket>,
+        direction: Direction,
+        deliver: mpsc::Sender<Vec<u8>>,
+    ) {
         let mut bytes = vec![0; 64 * 1024];
         let room = Arc::new(Semaphore::new(DATAGRAMS));
         while !deliver.is_closed() {
@@ -341,7 +346,8 @@
                     let address = socket.local_addr().unwrap();
                     line.disturb(1, Way::Both, &wrong);
                     let (deliver, mut got) = mpsc::channel(1024);
-                    let carried = spawn_local(line.clone().datagrams(socket, Direction::To, deliver));
+                    let carried =
+                        spawn_local(line.clone().datagrams(Rc::new(socket), Direction::To, deliver));
                     let from = UdpSocket::bind("127.0.0.1:0").await.unwrap();
                     for _ in 0..200 {
                         from.send_to(b"x", address).await.unwrap();
--- a/rig/src/scenario.rs
+++ b/rig/src/scenario.rs
@@ -103,11 +103,21 @@
     /// Whether each node has a folder that keeps keys and results over restarts.
     #[serde(default)]
     pub folder: bool,
+    /// Whether the nodes are one virtual router (VRRP), which talk among themselves.
+    pub vrrp: Option<Vrrp>,
     /// Nodes that run another build: the name given to `--program NAME=PATH`, and the nodes.
     #[serde(default)]
     pub programs: BTreeMap<String, Vec<String>>,
 }
 
+/// The virtual router that the nodes are: the first one has the highest priority, the next ones less.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Vrrp {
+    /// Between two advertisements, whole hundredths of a second.
+    pub interval_ms: u64,
+}
+
 /// A class of requests.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -620,6 +630,8 @@
         must(fleet.run_factor >= 1.0, "fleet.run_factor", "1 or more");
         must(fleet.read_ms >= 0.0 && fleet.connect_ms >= 0.0, "fleet.read_ms", "0 or more, as connect_ms");
         must(fleet.sockets >= 32, "fleet.sockets", "32 at least");
+        let vrrp = fleet.vrrp.as_ref();
+        must(vrrp.is_none_or(|vrrp| vrrp.interval_ms >= 10), "fleet.vrrp.interval_ms", "10 or more");
         let names = self.node_names();
         for (program, nodes) in &fleet.programs {
             for node in nodes {
--- a/rig/src/settings.rs
+++ b/rig/src/settings.rs
@@ -78,6 +78,22 @@
     })
 }
 
+/// The virtual router that all nodes are.
+const VRID: u8 = 51;
+/// The priority of the first node; each of the others has one less than the one before.
+const HIGHEST: usize = 200;
+
+/// The file that makes a node one of a virtual router: where it hears, and where it reaches each of the others.
+pub fn router(position: usize, interval_ms: u64, listen: SocketAddr, peers: &[SocketAddr]) -> String {
+    let peers: Vec<String> = peers.iter().map(|peer| format!("'{peer}'")).collect();
+    format!(
+        "listen = '127.0.0.1:0'\n[vrrp]\nvrid = {VRID}\npriority = {}\ninterval_ms = {interval_ms}\n\
+         addresses = ['127.0.0.1']\nlisten = '{listen}'\npeers = [{}]\n",
+        HIGHEST - position,
+        peers.join(", ")
+    )
+}
+
 /// The file that makes a node's keys and results outlast it.
 pub fn remembered(folder: &Path) -> String {
     format!("folder = '{}'\nfile_mb = {FOLDER_MB}\n", folder.display())
--- a/rig/src/world.rs
+++ b/rig/src/world.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 
 use crate::clock::Clock;
 use crate::history::{ClassTerms, Event, History, Seen, Terms};
@@ -34,6 +35,8 @@
     pub plan: Plan,
     /// The seed.
     pub seed: u64,
+    /// A number that no other play of this process has.
+    pub number: u32,
     seen: RefCell<Vec<Seen>>,
     written: RefCell<HashMap<u64, Written>>,
     counts: RefCell<HashMap<(usize, Happening), u64>>,
@@ -49,6 +52,7 @@
             scenario,
             plan,
             seed,
+            number: own_number(),
             seen: RefCell::default(),
             written: RefCell::default(),
             counts: RefCell::default(),
@@ -123,6 +127,12 @@
     }
 }
 
+/// A number that nobody else in this process has got.
+pub fn own_number() -> u32 {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    NEXT.fetch_add(1, Ordering::Relaxed)
+}
+
 /// The terms that a scenario is checked by.
 pub fn terms(scenario: &Scenario, seed: u64) -> Terms {
     let classes = scenario.classes.iter().map(|class| ClassTerms {
@@ -145,5 +155,8 @@
         drain_grace: crate::settings::DRAIN_GRACE_MS,
         sockets: scenario.fleet.sockets,
         memory_kb: scenario.fleet.memory_mb * 1024,
+        // Who hears a higher priority gives way at once; it is heard within an interval.
+        two_active: scenario.fleet.vrrp.as_ref().map_or(0.0, |vrrp| 2.0 * vrrp.interval_ms as f64)
+            + scenario.rules.slack_ms,
     }
 }
