--- a/node/tests/fleet.rs
+++ b/node/tests/fleet.rs
@@ -71,6 +71,13 @@
     keeps_the_rules("restarted", &[SOON]);
 }
 
+#[test]
+fn folders_are_cut_at_a_byte_and_replaced_by_old_copies() {
+    let cut = "{at_s = 2, what = 'kill', nodes = ['n1'], down_s = 0.5, folder = 'cut'}";
+    let old = "{at_s = 2.5, what = 'kill', nodes = ['n2'], down_s = 0.5, folder = 'old'}";
+    keeps_the_rules("restarted", &[("fault", &format!("[{cut}, {old}]"))]);
+}
+
 #[test]
 fn a_node_is_killed_as_a_run_ends() {
     let kill =
--- a/rig/src/model/front.rs
+++ b/rig/src/model/front.rs
@@ -5,7 +5,7 @@
 use rand_chacha::ChaCha8Rng;
 
 use super::Ms;
-use crate::scenario::{Choose, Fronts};
+use crate::scenario::{Choose, Fronts, RepeatAt};
 
 /// A try is not begun with less than this left.
 const TOO_LATE: Ms = 5.0;
@@ -140,6 +140,18 @@
     Free,
 }
 
+impl Pin {
+    /// Where a request goes that repeats no other, or one that was first tried at a node, if at any.
+    pub fn of(repeats: bool, first: Option<usize>, at: RepeatAt) -> Pin {
+        match (repeats, first, at) {
+            (false, ..) => Pin::Free,
+            (true, Some(node), RepeatAt::Same) => Pin::To(node),
+            (true, Some(node), RepeatAt::Other) => Pin::Not(node),
+            (true, ..) => Pin::Once,
+        }
+    }
+}
+
 /// One client's request on its way.
 #[derive(Debug, Clone)]
 pub struct Journey {
--- a/rig/src/predict.rs
+++ b/rig/src/predict.rs
@@ -16,7 +16,7 @@
 use crate::model::vm::{Happened, Make, Vm, Work};
 use crate::model::Ms;
 use crate::plan::{call_time, generator, plan, At, Plan, Stream};
-use crate::scenario::{Fault, RepeatAt, Scenario, What};
+use crate::scenario::{Fault, Scenario, What};
 use crate::world::terms;
 
 /// The plain node runs so many for each core.
@@ -219,13 +219,8 @@
     fn ask(&mut self, n: usize) {
         let ask = self.plan.asks[n].clone();
         self.note(Event::Asked { n, class: ask.class, repeats: ask.repeats });
-        let first = ask.repeats.map(|first| self.went.get(&first).copied());
-        let pin = match (first, self.scenario.load.repeat_at) {
-            (None, _) => Pin::Free,
-            (Some(Some(node)), RepeatAt::Same) => Pin::To(node),
-            (Some(Some(node)), RepeatAt::Other) => Pin::Not(node),
-            (Some(_), _) => Pin::Once,
-        };
+        let first = ask.repeats.and_then(|first| self.went.get(&first).copied());
+        let pin = Pin::of(ask.repeats.is_some(), first, self.scenario.load.repeat_at);
         let due = self.now + self.scenario.classes[ask.class].deadline_ms as f64;
         let journey = Journey::new(due, pin, &self.fronts[ask.front]);
         self.travellers.insert(n, Traveller { journey, tries: 0 });
--- a/rig/src/stand/fronts.rs
+++ b/rig/src/stand/fronts.rs
@@ -17,7 +17,7 @@
 use crate::model::members::Members;
 use crate::model::Ms;
 use crate::relay::Line;
-use crate::scenario::{Happening, RepeatAt};
+use crate::scenario::Happening;
 use crate::wire::{self, Said};
 use crate::world::{World, Written};
 
@@ -122,13 +122,8 @@
         let class = &self.world.scenario.classes[ask.class];
         let asked = self.world.now();
         self.world.note(Event::Asked { n, class: ask.class, repeats: ask.repeats });
-        let first = ask.repeats.map(|first| self.went.borrow().get(&first).copied());
-        let pin = match (first, self.world.scenario.load.repeat_at) {
-            (None, _) => Pin::Free,
-            (Some(Some(node)), RepeatAt::Same) => Pin::To(node),
-            (Some(Some(node)), RepeatAt::Other) => Pin::Not(node),
-            (Some(_), _) => Pin::Once,
-        };
+        let first = ask.repeats.and_then(|first| self.went.borrow().get(&first).copied());
+        let pin = Pin::of(ask.repeats.is_some(), first, self.world.scenario.load.repeat_at);
         let due = asked + class.deadline_ms as f64;
         let mut journey = Journey::new(due, pin, &self.habits.borrow());
         let mut step = journey.go(asked, &mut self.habits.borrow_mut(), &self.listed());
--- a/rig/src/stand/interpreter.rs
+++ b/rig/src/stand/interpreter.rs
@@ -36,6 +36,23 @@
     up: bool,
 }
 
+impl State {
+    /// One that starts now and has run nothing.
+    fn fresh(vm: Vm, life: u64, started: Ms) -> State {
+        State {
+            vm,
+            life,
+            started,
+            notices: VecDeque::new(),
+            last: 0,
+            began: HashMap::new(),
+            replies: HashMap::new(),
+            poorer: HashSet::new(),
+            up: true,
+        }
+    }
+}
+
 /// One node's interpreter.
 pub struct Interpreter {
     world: Rc<World>,
@@ -54,17 +71,7 @@
 impl Interpreter {
     /// One that is up, and has been for long unless it is cold.
     pub fn new(world: Rc<World>, node: usize, cold: bool) -> Rc<Interpreter> {
-        let state = State {
-            vm: Interpreter::make(&world, node, cold),
-            life: 1,
-            started: world.now(),
-            notices: VecDeque::new(),
-            last: 0,
-            began: HashMap::new(),
-            replies: HashMap::new(),
-            poorer: HashSet::new(),
-            up: true,
-        };
+        let state = State::fresh(Interpreter::make(&world, node, cold), 1, world.now());
         Rc::new(Interpreter {
             world,
             node,
@@ -95,17 +102,7 @@
         {
             let mut state = self.state.borrow_mut();
             let life = state.life + 1;
-            *state = State {
-                vm: Interpreter::make(&self.world, self.node, true),
-                life,
-                started: self.world.now(),
-                notices: VecDeque::new(),
-                last: 0,
-                began: HashMap::new(),
-                replies: HashMap::new(),
-                poorer: HashSet::new(),
-                up: true,
-            };
+            *state = State::fresh(Interpreter::make(&self.world, self.node, true), life, self.world.now());
         }
         self.fell.borrow_mut().take();
         self.said.send_replace(0);
--- a/rig/tests/mutants.rs
+++ b/rig/tests/mutants.rs
@@ -2,7 +2,7 @@
 
 use std::path::PathBuf;
 
-use oakwind_rig::check::{check, Rule};
+use oakwind_rig::check::{check, Rule, Verdict};
 use oakwind_rig::machine::{Build, Programs};
 use oakwind_rig::play::{play, Options};
 use oakwind_rig::scenario::Scenario;
@@ -14,15 +14,22 @@
     [load]\nrate = 60\nrepeats = 1.0\nrepeat_after_ms = [50, 400]\n\
     [fronts]\ncount = 2\nretries = 0\nclient_retries = 0\nlist_late_ms = [0, 0]\n";
 
-fn rules_broken_by(mutant: &str) -> Vec<Rule> {
-    let scenario = Scenario::parse(SCENARIO, &[]).unwrap();
+fn build(mutant: &str) -> Build {
     let path = PathBuf::from(env!("CARGO_BIN_EXE_oakwind-rig"));
-    let default = Build { path, arguments: vec!["--mutant".into(), mutant.into()] };
-    let programs = Programs { default, others: Default::default() };
+    Build { path, arguments: vec!["--mutant".into(), mutant.into()] }
+}
+
+fn played(scenario: &str, programs: Programs) -> Verdict {
+    let scenario = Scenario::parse(scenario, &[]).unwrap();
     let options = Options { seed: None, programs, out: None, progress: false };
     let verdict = check(&play(&scenario, &options).unwrap());
-    assert!(verdict.written > 100, "{mutant}: {} written", verdict.written);
-    verdict.by_rule().into_keys().collect()
+    assert!(verdict.written > 100, "{} written", verdict.written);
+    verdict
+}
+
+fn rules_broken_by(mutant: &str) -> Vec<Rule> {
+    let programs = Programs { default: build(mutant), others: Default::default() };
+    played(SCENARIO, programs).by_rule().into_keys().collect()
 }
 
 #[test]
@@ -59,3 +66,11 @@
 fn a_body_that_is_changed_on_its_way_is_seen_by_the_interpreter() {
     assert!(rules_broken_by("changes-bodies").contains(&Rule::Spoilt));
 }
+
+#[test]
+fn of_a_mixed_fleet_the_build_that_breaks_a_rule_is_named() {
+    let scenario = SCENARIO.replace("nodes = 3\n", "nodes = 3\nprograms = {bad = ['n2']}\n");
+    let others = [("bad".to_string(), build("answers-twice"))].into();
+    let breaches = played(&scenario, Programs { default: build(""), others }).breaches;
+    assert!(!breaches.is_empty() && breaches.iter().all(|breach| breach.text.contains(" n2 ")), "{breaches:?}");
+}
