--- a/rig/tests/mutants.rs
+++ b/rig/tests/mutants.rs
@@ -72,5 +72,8 @@
     let scenario = SCENARIO.replace("nodes = 3\n", "nodes = 3\nprograms = {bad = ['n2']}\n");
     let others = [("bad".to_string(), build("answers-twice"))].into();
     let breaches = played(&scenario, Programs { default: build(""), others }).breaches;
-    assert!(!breaches.is_empty() && breaches.iter().all(|breach| breach.text.contains(" n2 ")), "{breaches:?}");
+    assert!(
+        !breaches.is_empty() && breaches.iter().all(|breach| breach.text.contains(" n2 ")),
+        "{breaches:?}"
+    );
 }
