Build the rig's jobs in one place and read scenarios by one function

Found on reading the change again: three commands built a Job each by hand, experiment::changed did what Scenario::read did and left that one without a caller, and a map with empty values stood for a set.

--- a/rig/src/check.rs
+++ b/rig/src/check.rs
@@ -162,7 +162,7 @@
     standing_still: BTreeSet<usize>,
     /// Since when two have the role though they can hear each other.
     two_since: Option<Ms>,
-    passed: HashMap<(usize, &'static str), ()>,
+    passed: BTreeSet<(usize, &'static str)>,
 }
 
 impl Checker {
@@ -296,7 +296,7 @@
 
     /// A limit that is passed is one breach, however long it stays passed.
     fn limit(&mut self, t: Ms, node: usize, what: &'static str, value: u64, most: u64) {
-        if value > most && self.passed.insert((node, what), ()).is_none() {
+        if value > most && self.passed.insert((node, what)) {
             self.breach(t, Rule::LimitPassed, format!("n{}: {what}: {value} of {most}", node + 1));
         }
     }
--- a/rig/src/experiment.rs
+++ b/rig/src/experiment.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 use std::io;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::sync::mpsc::channel;
 use std::sync::{Arc, Mutex, PoisonError};
 
@@ -11,7 +11,7 @@
 use crate::plan::plan;
 use crate::play::{play, Options};
 use crate::report::{self, cell, Outcome, COLUMNS};
-use crate::scenario::{Mistakes, Scenario};
+use crate::scenario::Scenario;
 
 /// One play of an experiment.
 #[derive(Debug, Clone)]
@@ -28,12 +28,6 @@
     pub out: Option<PathBuf>,
 }
 
-/// Reads a scenario with some keys changed.
-pub fn changed(path: &Path, changes: &[(String, String)]) -> Result<Scenario, Mistakes> {
-    let text = std::fs::read_to_string(path).map_err(|e| vec![format!("{}: {e}", path.display())])?;
-    Scenario::parse(&text, changes)
-}
-
 /// Plays them, so many at a time, and returns what came of each, in their order.
 ///
 /// # Errors
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -187,16 +187,23 @@
 }
 
 fn read(path: &Path, changes: &[(String, String)]) -> Result<Scenario, String> {
-    experiment::changed(path, changes).map_err(|mistakes| {
+    Scenario::read(path, changes).map_err(|mistakes| {
         let lines: Vec<String> = mistakes.iter().map(|line| format!("{}: {line}", path.display())).collect();
         lines.join("\noakwind-rig: ")
     })
 }
 
-fn folder(out: Option<&PathBuf>, label: &str, seed: u64) -> Option<PathBuf> {
+/// One play, whose files go to a folder named after it.
+fn job(label: &str, scenario: &Scenario, seed: u64, programs: &Programs, out: Option<&PathBuf>) -> Job {
     let name: String =
         label.chars().map(|c| if c.is_alphanumeric() || ".-=".contains(c) { c } else { '_' }).collect();
-    out.map(|out| out.join(format!("{name}-{seed}")))
+    Job {
+        label: label.into(),
+        scenario: scenario.clone(),
+        seed,
+        programs: programs.clone(),
+        out: out.map(|out| out.join(format!("{name}-{seed}"))),
+    }
 }
 
 /// Tells of all plays and keeps what is to be kept; the number of rules broken.
@@ -229,9 +236,7 @@
         let scenario = read(path, &changes)?;
         for i in 0..arguments.repeat {
             let seed = arguments.seed.unwrap_or(scenario.seed) + i;
-            let (label, programs) = (scenario.name.clone(), programs.clone());
-            let out = folder(arguments.out.as_ref(), &label, seed);
-            jobs.push(Job { label, scenario: scenario.clone(), seed, programs, out });
+            jobs.push(job(&scenario.name, &scenario, seed, &programs, arguments.out.as_ref()));
         }
     }
     let outcomes = experiment::run(jobs, arguments.jobs, !arguments.quiet).map_err(|e| e.to_string())?;
@@ -268,15 +273,7 @@
         let scenario = read(&arguments.scenario, &[(key.clone(), value.into())])?;
         let label = format!("{key}={value}");
         for i in 0..arguments.repeat {
-            let seed = scenario.seed + i;
-            let out = folder(arguments.out.as_ref(), &label, seed);
-            jobs.push(Job {
-                label: label.clone(),
-                scenario: scenario.clone(),
-                seed,
-                programs: programs.clone(),
-                out,
-            });
+            jobs.push(job(&label, &scenario, scenario.seed + i, &programs, arguments.out.as_ref()));
         }
     }
     let outcomes = experiment::run(jobs, arguments.jobs, true).map_err(|e| e.to_string())?;
@@ -299,15 +296,7 @@
     let mut jobs = Vec::new();
     for i in 0..arguments.repeat {
         for (label, scenario, programs) in &sides {
-            let seed = scenario.seed + i;
-            let out = folder(arguments.out.as_ref(), label, seed);
-            jobs.push(Job {
-                label: label.clone(),
-                scenario: scenario.clone(),
-                seed,
-                programs: programs.clone(),
-                out,
-            });
+            jobs.push(job(label, scenario, scenario.seed + i, programs, arguments.out.as_ref()));
         }
     }
     let outcomes = experiment::run(jobs, arguments.jobs, true).map_err(|e| e.to_string())?;
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -19,7 +19,7 @@
 use crate::model::Ms;
 use crate::plan::{generator, plan, At, Plan, Stream, Strike};
 use crate::relay::{Direction, Line};
-use crate::scenario::{Link, Scenario, Traffic, Way, What};
+use crate::scenario::{Fault, Link, Scenario, Traffic, Way, What};
 use crate::settings;
 use crate::stand::below::Tier;
 use crate::stand::fronts::{Door, FrontEnd, Shared};
@@ -356,12 +356,7 @@
     }
 
     /// Undoes a fault for all that it struck.
-    fn later(
-        self: &Rc<Self>,
-        until: Ms,
-        strike: &Strike,
-        undo: impl Fn(&Rc<Machine>, &crate::scenario::Fault) + 'static,
-    ) {
+    fn later(self: &Rc<Self>, until: Ms, strike: &Strike, undo: impl Fn(&Rc<Machine>, &Fault) + 'static) {
         let (stage, strike) = (self.clone(), strike.clone());
         spawn_local(async move {
             stage.world.clock.until(until).await;
--- a/rig/src/scenario.rs
+++ b/rig/src/scenario.rs
@@ -549,10 +549,10 @@
 pub type Mistakes = Vec<String>;
 
 impl Scenario {
-    /// Reads and checks a file.
-    pub fn read(path: &Path) -> Result<Scenario, Mistakes> {
+    /// Reads and checks a file, with some keys set to other values.
+    pub fn read(path: &Path, changes: &[(String, String)]) -> Result<Scenario, Mistakes> {
         let text = std::fs::read_to_string(path).map_err(|e| vec![format!("{}: {e}", path.display())])?;
-        Scenario::parse(&text, &[])
+        Scenario::parse(&text, changes)
     }
 
     /// Reads and checks a text, with some keys set to other values (`load.load=1.2`).
