Excuse a lost request in the rig's checker only where the rig killed the node

Found on reading the change again: a node's end by itself (left, or crashed) counted as the rig being in the way, so that a request it left without an answer could be excused, depending on which was seen first, its connection's end or the program's (rig/src/check.rs). Stricter now; its history is in the test of that rule and fails without this.

--- a/rig/src/check.rs
+++ b/rig/src/check.rs
@@ -247,7 +247,6 @@
                 self.notices.insert(*node, t);
             }
             Event::Down { node, way } => {
-                self.excuses.down.entry(*node).or_default().set(t, true);
                 match way {
                     Way::Crashed(status) => {
                         self.breach(t, Rule::Crashed, format!("n{} ended by itself: {status}", node + 1));
@@ -259,7 +258,9 @@
                             format!("n{} was still there when its time to leave was over", node + 1),
                         );
                     }
-                    Way::Killed | Way::Left => {}
+                    Way::Killed => self.excuses.down.entry(*node).or_default().set(t, true),
+                    // What it has read is answered before it ends by itself: no excuse.
+                    Way::Left => {}
                 }
             }
             Event::Wiped { node } => *self.memories.entry(*node).or_default() += 1,
@@ -541,6 +542,7 @@
         assert_eq!(open(vec![(1100.0, refused(1))]), []);
         assert_eq!(open(vec![(900.0, Event::Withdrew { txn: 1 })]), []);
         assert_eq!(open(vec![(500.0, Event::Down { node: 0, way: Way::Killed })]), []);
+        assert_eq!(open(vec![(500.0, Event::Down { node: 0, way: Way::Left })]), [Rule::Lost], "it left");
         assert_eq!(
             open(vec![(500.0, Event::Down { node: 1, way: Way::Killed })]),
             [Rule::Lost],
