Break the circle of imports round keys and ask one keeper whether a run may begin

Need: replication of keyed results has to stand beside the file of remembered keys, behind one seam. core/keys, exchange, figures and remembered imported each other in a circle, and core.rs called the folder's recorder itself in six places.

Lines at fault: core/keys.rs took digest and LONGEST_RESULT from remembered, remembered/ledger.rs took READ_LATE from core/keys, recovery.rs took Fate from exchange, exchange.rs took Figures, figures.rs took Outcome from exchange.

Nothing that a client or an operator sees has changed.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -18,13 +18,14 @@
 
 use crate::clock::{self, Unix};
 use crate::exchange::{
-    CallCommand, CallEnd, Claim, CoreEnds, End, Estate, Fate, Input, KeyRecord, Outcome, Report, Request,
-    RunCommand, State, Ticket,
+    CallCommand, CallEnd, Claim, CoreEnds, End, Estate, Input, Outcome, Report, Request, RunCommand, State,
+    Ticket,
 };
+use crate::fate::{Fate, Kept, Key, KeyRecord};
+use crate::keeper::{Keeper, Run, Word};
 use crate::log;
-use crate::remembered::record::{Record, State as Said};
-use crate::remembered::{recovery::Recovered, Remembrance, Told, Waiting};
-use keys::{Kept, Keys, Linked};
+use crate::remembered::recovery::Recovered;
+use keys::{Keys, Linked};
 
 /// The gauges are asked for this long before the timer that they go with, as the answer takes a moment.
 const GAUGE_LEAD: Duration = Duration::from_millis(5);
@@ -111,8 +112,8 @@
     /// Tries with keys, while it is not known which keys the process before this one has run. As bounded as
     /// connections and what may be open on them.
     held_back: Vec<Input>,
-    /// Where keys outlast this process, if an operators' file says so.
-    remembrance: Option<Remembrance>,
+    /// What keeps keys beyond this process, as far as operators' files say so.
+    keeper: Keeper,
 }
 
 impl Core {
@@ -137,19 +138,21 @@
             opened: false,
             heir: None,
             held_back: Vec::new(),
-            remembrance: None,
+            keeper: Keeper::default(),
         }
     }
 
-    /// Keys outlast the process from now on, and this is what the ones before it left. None while the process before
-    /// still has the folder.
-    pub fn remember(&mut self, remembrance: Remembrance, recovered: Option<Recovered>) {
-        self.ends.figures.remembers(remembrance.tally.clone());
-        self.remembrance = Some(remembrance);
-        self.keys = std::mem::take(&mut self.keys).lasting();
+    /// Keys are kept beyond the process from now on, and this is what the ones before it left. None while the process
+    /// before still has it.
+    pub fn keep(&mut self, keeper: Keeper, recovered: Option<Recovered>) {
+        keeper.counts(&self.ends.figures);
+        self.keeper = keeper;
+        if self.keeper.lasts() {
+            self.keys = std::mem::take(&mut self.keys).lasting();
+        }
         if let Some(recovered) = recovered {
             self.keys.digests_with(recovered.seed);
-            self.recall(recovered);
+            self.recall(recovered.keys);
         }
     }
 
@@ -167,7 +170,7 @@
                         self.take_in(input);
                     }
                 }
-                told = Remembrance::told(&mut self.remembrance) => self.told(told),
+                word = self.keeper.told() => self.told(word),
                 () = clock::until(wake) => {}
             }
             self.settle();
@@ -262,9 +265,7 @@
             }
             Input::HeirGone => {
                 self.heir = None;
-                if let Some(remembrance) = &mut self.remembrance {
-                    remembrance.take_over(true);
-                }
+                self.keeper.take_over(true);
                 // One that is to leave takes no clients again.
                 self.update(|state| state.handed &= state.draining.is_some());
             }
@@ -360,7 +361,7 @@
     }
 
     /// What a request gets that came before anything can run here, if its key is known from an earlier process.
-    fn known_before(&self, key: &keys::Key, request: &Request, now: Unix) -> Option<Outcome> {
+    fn known_before(&self, key: &Key, request: &Request, now: Unix) -> Option<Outcome> {
         if self.in_doubt(key, now) {
             return Some(Outcome::Failed { overdue: false });
         }
@@ -371,44 +372,33 @@
         })
     }
 
-    /// Whether a key that is not known may have run, as far as damage to the folder tells.
-    fn in_doubt(&self, key: &keys::Key, now: Unix) -> bool {
-        let doubts = self.remembrance.as_ref().map(|remembrance| &remembrance.doubts);
-        doubts.is_some_and(|doubts| !self.keys.knows(key) && doubts.doubts(key, now))
+    /// Whether a key that is not known may have run, as far as damage to what was kept tells.
+    fn in_doubt(&self, key: &Key, now: Unix) -> bool {
+        !self.keys.knows(key) && self.keeper.doubts(key, now)
     }
 
-    /// Takes in what the folder tells of earlier processes. What began and has no end has failed.
-    fn recall(&mut self, recovered: Recovered) {
-        for KeyRecord { key, body, until, fate } in recovered.keys {
+    /// Takes in what earlier processes left. What began and has no end has failed.
+    fn recall(&mut self, records: Vec<KeyRecord>) {
+        for KeyRecord { key, body, until, fate } in records {
             let id = self.new_id();
             self.keys.inherit(key, (body, until, fate), id);
         }
         for joiner in self.keys.inheritance_over() {
             self.join_ended(joiner, &Kept::Failed, clock::now());
         }
-        if let Some(remembrance) = &mut self.remembrance {
-            remembrance.doubts = recovered.doubts;
-        }
     }
 
-    /// The folder has kept something, or is open.
-    fn told(&mut self, told: Told) {
-        let Some(remembrance) = &mut self.remembrance else { return };
-        match told {
-            Told::Written(id, kept) => match remembrance.waiting.remove(&id) {
-                Some(Waiting::Begin) => self.recorded(id, kept),
-                Some(Waiting::End(end)) => self.run_over(id, if kept { end } else { End::Crashed }),
-                // Nobody waits for that.
-                None => {}
-            },
-            Told::Opened(recovered) if remembrance.recalls => self.recall(recovered),
-            // The process before has told all this, and more of late.
-            Told::Opened(recovered) => remembrance.doubts = recovered.doubts,
+    /// The keeper has something to say.
+    fn told(&mut self, word: Word) {
+        match word {
+            Word::Begin(id, kept) => self.may_begin(id, kept),
+            Word::Ended(id, end) => self.run_over(id, end),
+            Word::Recalled(records) => self.recall(records),
         }
     }
 
-    /// That a run begins is in the folder now, or could not be kept: then it does not begin.
-    fn recorded(&mut self, id: RequestId, kept: bool) {
+    /// That a run begins is kept now, or could not be: then it does not begin.
+    fn may_begin(&mut self, id: RequestId, kept: bool) {
         let Some(taken) = self.tries.get(&id) else { return };
         let request = taken.request.clone();
         if kept && taken.ticket.is_some() {
@@ -416,35 +406,22 @@
         }
         if kept {
             // Its caller has had an answer, or has gone, so nobody waits for the run.
-            self.record(id, Said::Freed, Bytes::new());
+            self.keep_fate(id, &Kept::NeverRan);
         }
         self.run_ended(&request.txn, End::NeverRan);
     }
 
-    /// Has the folder keep something of the key that a try holds: whether the disk takes it, or none where nothing
-    /// outlasts this process or another one has the folder.
-    fn record(&self, id: RequestId, state: Said, result: Bytes) -> Option<bool> {
-        let recorder = self.remembrance.as_ref()?.recorder.as_ref()?;
+    /// The run of a try that holds a key, as the keeper is asked about it.
+    fn run_of(&self, id: RequestId) -> Option<Run> {
         let (key, body, until) = self.keys.held_by(id)?;
-        Some(recorder.write(id, Record { number: 0, at: Duration::ZERO, until, body, state, key, result }))
+        Some(Run { id, key, body, until })
     }
 
-    /// Has the folder keep what a try waits for, in the same terms.
-    fn record_and_wait(&mut self, id: RequestId, waits: Waiting) -> Option<bool> {
-        if self.remembrance.is_none() || !self.keys.holds(id) {
-            return None;
+    /// Has it kept how a run ended that nobody here waits for.
+    fn keep_fate(&mut self, id: RequestId, kept: &Kept) {
+        if let Some(run) = self.run_of(id) {
+            self.keeper.over(run, kept);
         }
-        let (state, result) = match &waits {
-            Waiting::Begin => (Said::Begun, Bytes::new()),
-            // It outlives the buffer that it was read into.
-            Waiting::End(End::Done(result)) => (Said::Done, Bytes::copy_from_slice(result)),
-            Waiting::End(_) => (Said::Failed, Bytes::new()),
-        };
-        let taken = self.record(id, state, result)?;
-        if let Some(remembrance) = self.remembrance.as_mut().filter(|_| taken) {
-            remembrance.waiting.insert(id, waits);
-        }
-        Some(taken)
     }
 
     fn new_id(&mut self) -> RequestId {
@@ -464,30 +441,21 @@
         for KeyRecord { key, body, until, fate } in estate.keys {
             let id = self.new_id();
             if let Some((joiners, kept)) = self.keys.inherit(key.clone(), (body, until, fate), id) {
-                // What it tells at first is in the folder already.
+                // What it tells at first is kept already.
                 if let Some(holder) = self.keys.holder(&key).filter(|_| !first) {
-                    self.record_kept(holder, &kept);
+                    self.keep_fate(holder, &kept);
                 }
                 for joiner in joiners {
                     self.join_ended(joiner, &kept, now);
                 }
             }
         }
-        if let Some(remembrance) = self.remembrance.as_mut().filter(|_| first) {
-            remembrance.take_over(false);
+        if first {
+            self.keeper.take_over(false);
         }
         self.inherited();
     }
 
-    /// Has the folder keep how a run ended that nobody here waits for.
-    fn record_kept(&self, id: RequestId, kept: &Kept) {
-        match kept {
-            Kept::Done(result) => self.record(id, Said::Done, result.clone()),
-            Kept::Failed => self.record(id, Said::Failed, Bytes::new()),
-            Kept::NeverRan => self.record(id, Said::Freed, Bytes::new()),
-        };
-    }
-
     /// Requests with keys are decided on from now on.
     fn inherited(&mut self) {
         self.update(|state| state.inheriting = false);
@@ -502,22 +470,18 @@
     fn tell_heir_all(&mut self, now: Unix) {
         let Some(heir) = self.heir.as_mut().filter(|heir| !heir.told && now >= heir.at) else { return };
         heir.told = true;
-        self.release_folder();
+        self.let_go();
         let (seed, all) = self.keys.all();
         let keys = all.map(|(key, body, until, fate)| KeyRecord { key: key.clone(), body, until, fate });
         let estate = Estate { seed, keys: keys.collect() };
         self.tell_heir(estate);
     }
 
-    /// Leaves the folder to the process that takes over. What is held here may still run here, so it counts as begun.
-    fn release_folder(&mut self) {
-        let held = self.tries.values().filter(|t| t.phase == Phase::Held && self.keys.holds(t.id));
-        for t in held {
-            self.record(t.id, Said::Begun, Bytes::new());
-        }
-        if let Some(remembrance) = &mut self.remembrance {
-            remembrance.recorder = None;
-        }
+    /// Leaves what is kept to the process that takes over. What is held here may still run here, so it counts as begun.
+    fn let_go(&mut self) {
+        let held = self.tries.values().filter(|t| t.phase == Phase::Held);
+        let held: Vec<Run> = held.filter_map(|t| self.run_of(t.id)).collect();
+        self.keeper.let_go(held);
     }
 
     /// Tells the process that took over what became of the run of a try, if that holds a key.
@@ -545,7 +509,7 @@
     }
 
     /// The key of a request whose class must not run twice.
-    fn key_of(&self, request: &Request) -> Option<keys::Key> {
+    fn key_of(&self, request: &Request) -> Option<Key> {
         let class = self.settings.settings.classes.get(usize::from(request.class))?;
         request.key.clone().filter(|_| class.effect == Effect::Keyed)
     }
@@ -577,11 +541,10 @@
         if end == End::NeverRan {
             return self.run_over(id, end);
         }
-        match self.record_and_wait(id, Waiting::End(end.clone())) {
-            Some(true) => {}
-            // Later tries get the same as its caller does now.
-            Some(false) => self.run_over(id, End::Crashed),
-            None => self.run_over(id, end),
+        let run = self.run_of(id);
+        // Where it can't be kept, later tries get the same as its caller does now.
+        if let Some(end) = self.keeper.ended(run, end) {
+            self.run_over(id, end);
         }
     }
 
@@ -759,10 +722,12 @@
         let Some(taken) = self.tries.get_mut(&id) else { return };
         taken.phase = Phase::Running { since: now };
         let request = taken.request.clone();
-        match self.record_and_wait(id, Waiting::Begin) {
-            Some(true) => {}
+        let run = self.run_of(id);
+        match self.keeper.may_begin(run) {
+            Some(true) => self.hand_to_run(request),
             Some(false) => self.run_ended(&request.txn, End::NeverRan),
-            None => self.hand_to_run(request),
+            // The keeper tells.
+            None => {}
         }
     }
 
--- a/node/src/core/keys.rs
+++ b/node/src/core/keys.rs
@@ -8,45 +8,13 @@
 use swiftwinch::RequestId;
 
 use crate::clock::Unix;
-use crate::exchange::Fate;
-use crate::remembered::ledger::LONGEST_RESULT;
-use crate::remembered::record::digest;
-
-/// A key names one request, whichever class its tries come in: guards a request against a second run where its
-/// class gets another name between two of them.
-pub type Key = Bytes;
-
-/// An entry that has run out is kept this much longer for tries that were read late: those that came to the
-/// machine in its time are still linked to it.
-pub const READ_LATE: Duration = Duration::from_secs(8);
+use crate::fate::{digest, Fate, Kept, Key, LONGEST_RESULT, READ_LATE};
 
 /// Memory that a remembered key takes, by a generous estimate, beside its result.
 const ENTRY_BYTES: usize = 512;
 /// So many keys may be remembered in any process.
 const FEWEST: usize = 1000;
 
-/// What is kept of a run that is over.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Kept {
-    /// Its result.
-    Done(Bytes),
-    /// It failed and may have had its effect.
-    Failed,
-    /// It provably never began.
-    NeverRan,
-}
-
-impl Kept {
-    /// The same in the exchange's terms.
-    pub fn fate(&self) -> Fate {
-        match self {
-            Kept::Done(result) => Fate::Done(result.clone()),
-            Kept::Failed => Fate::Failed,
-            Kept::NeverRan => Fate::NeverRan,
-        }
-    }
-}
-
 #[derive(Debug)]
 struct Entry {
     holder: RequestId,
--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -11,6 +11,8 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::clock::Unix;
+use crate::fate::KeyRecord;
+pub use crate::fate::{End, Outcome};
 use crate::figures::Figures;
 
 /// Inputs that may wait for the core; who has more to say waits with it.
@@ -45,27 +47,6 @@
     pub body: Bytes,
 }
 
-/// The one final answer to a request.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Outcome {
-    /// Served, with the result that a run made.
-    Served(Bytes),
-    /// Turned away: this try never ran.
-    Refused {
-        /// How long the caller should stay away.
-        retry_after: Option<Duration>,
-        /// The wish that it be tried nowhere else.
-        stay: bool,
-    },
-    /// Failed; nothing is promised.
-    Failed {
-        /// Because its time ran out.
-        overdue: bool,
-    },
-    /// Its key is that of a request with another body; nothing ran for it.
-    Mismatched,
-}
-
 /// The right to give one request its outcome. Answering uses it up, so no request is answered twice, and the
 /// room for the answer is set aside beforehand, so answering never waits.
 #[derive(Debug)]
@@ -111,32 +92,6 @@
     number: u64,
 }
 
-/// What became of the run of a key, as far as one process tells the next.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Fate {
-    /// It runs, or may yet.
-    Open,
-    /// It ended with this result.
-    Done(Bytes),
-    /// It failed and may have had its effect.
-    Failed,
-    /// It provably never began, so the key is free.
-    NeverRan,
-}
-
-/// A remembered key, as one process hands it to the next.
-#[derive(Debug, Clone, PartialEq)]
-pub struct KeyRecord {
-    /// The key.
-    pub key: Bytes,
-    /// The digest of the body that its tries carry.
-    pub body: u64,
-    /// How long it is remembered.
-    pub until: Unix,
-    /// What became of its run.
-    pub fate: Fate,
-}
-
 /// What a process hands to the next: at first the whole table of keys, then what changes in it.
 #[derive(Debug, Default)]
 pub struct Estate {
@@ -171,21 +126,6 @@
     InheritanceOver,
 }
 
-/// How a run ended.
-#[derive(Debug, Clone, PartialEq)]
-pub enum End {
-    /// With a result.
-    Done(Bytes),
-    /// It failed.
-    Crashed,
-    /// It was stopped, or ended at a call because its request was over.
-    Aborted,
-    /// Nothing was started, because the request was over.
-    Stale,
-    /// It provably never began: no server took it.
-    NeverRan,
-}
-
 /// How a call ended.
 #[derive(Debug, Clone, PartialEq)]
 pub enum CallEnd {
--- a/node/src/figures.rs
+++ b/node/src/figures.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
 
-use crate::exchange::Outcome;
+use crate::fate::Outcome;
 use crate::remembered::Tally;
 
 /// Every name begins with this.
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -23,7 +23,8 @@
 use tokio::sync::mpsc;
 
 use crate::clock::{self, Unix};
-use crate::exchange::{Estate, Exchange, Fate, KeyRecord};
+use crate::exchange::{Estate, Exchange};
+use crate::fate::{Fate, KeyRecord};
 use crate::lines::{self, put, Message, MAX_BODY};
 use crate::log;
 
--- a/node/src/remembered/folder.rs
+++ b/node/src/remembered/folder.rs
@@ -7,10 +7,11 @@
 
 use bytes::{Bytes, BytesMut};
 
-use super::ledger::{needed, Ledger, Limits, Step, LONGEST_RESULT};
+use super::ledger::{needed, Ledger, Limits, Step};
 use super::record::{self, Found, Record, SegmentHead, State, SEGMENT_HEAD};
 use super::recovery::{recover, Recovered, Segment};
 use crate::clock::Unix;
+use crate::fate::LONGEST_RESULT;
 use crate::log;
 
 const LOCK: &str = "lock";
@@ -245,7 +246,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::exchange::Fate;
+    use crate::fate::Fate;
     use std::cell::Cell;
     use std::collections::HashMap;
     use std::rc::Rc;
--- a/node/src/remembered/ledger.rs
+++ b/node/src/remembered/ledger.rs
@@ -10,10 +10,7 @@
 
 use super::record::{Record, State, HEAD};
 use crate::clock::Unix;
-use crate::core::keys::READ_LATE;
-
-/// The longest result that is kept; one that is longer counts as failed for later tries.
-pub const LONGEST_RESULT: usize = 64 * 1024;
+use crate::fate::{LONGEST_RESULT, READ_LATE};
 
 /// The hard bounds of a folder.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/node/src/remembered/mod.rs
+++ b/node/src/remembered/mod.rs
@@ -9,7 +9,6 @@
 pub mod record;
 pub mod recovery;
 
-use std::collections::HashMap;
 use std::io;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
@@ -21,7 +20,6 @@
 
 use crate::clock::{self, Unix};
 use crate::config::Remembered;
-use crate::exchange::End;
 use crate::log;
 use folder::{Folder, System};
 use ledger::Limits;
@@ -80,16 +78,7 @@
     }
 }
 
-/// What a try waits for the folder to keep.
-#[derive(Debug)]
-pub enum Waiting {
-    /// That its run begins.
-    Begin,
-    /// How its run ended.
-    End(End),
-}
-
-/// The core's part in it.
+/// The keeper's part in it.
 pub struct Remembrance {
     remembered: Remembered,
     longest: Duration,
@@ -100,8 +89,6 @@
     pub recalls: bool,
     /// Keys that may have run, as far as damage to the folder tells.
     pub doubts: Doubts,
-    /// What waits for the folder, by the try. As bounded as runs.
-    pub waiting: HashMap<RequestId, Waiting>,
     /// What operators see.
     pub tally: Arc<Tally>,
 }
@@ -116,15 +103,15 @@
             told: None,
             recalls: false,
             doubts: Doubts::default(),
-            waiting: HashMap::new(),
             tally: Arc::default(),
         }
     }
 
     /// Opens the folder, and tells what is in it; the error names the key in the file.
     pub fn open(&mut self) -> Result<Recovered, String> {
-        let (folder, recovered) = open(&self.remembered, self.longest, clock::now())?;
+        let (folder, mut recovered) = open(&self.remembered, self.longest, clock::now())?;
         found(&recovered, &self.tally);
+        self.doubts = std::mem::take(&mut recovered.doubts);
         let started = spawn(self.tally.clone(), self.remembered.batch, move |_| Some(folder));
         let (recorder, told) = started.map_err(|e| format!("no thread for the folder: {e}"))?;
         (self.recorder, self.told) = (Some(recorder), Some(told));
@@ -140,15 +127,15 @@
         }
     }
 
-    /// The next that the folder tells; never where there is none.
-    pub async fn told(remembrance: &mut Option<Remembrance>) -> Told {
-        let told = remembrance.as_mut().and_then(|remembrance| remembrance.told.as_mut());
+    /// The next that the folder tells; never while it is not open here.
+    pub async fn told(&mut self) -> Told {
+        let told = match &mut self.told {
+            Some(told) => told.recv().await,
+            None => None,
+        };
         match told {
-            Some(told) => match told.recv().await {
-                Some(told) => told,
-                // The thread has ended: all that it had to tell is told.
-                None => std::future::pending().await,
-            },
+            Some(told) => told,
+            // The thread has ended: all that it had to tell is told.
             None => std::future::pending().await,
         }
     }
--- a/node/src/remembered/record.rs
+++ b/node/src/remembered/record.rs
@@ -3,13 +3,12 @@
 //! A record is a head of [`HEAD`] bytes, the key and the result. Head and rest have a checksum each, keyed with the
 //! folder's seed: guards the search for the next whole record after damage against keys and results that look like one.
 
-use std::hash::Hasher;
 use std::time::Duration;
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
-use siphasher::sip::SipHasher13;
 
 use crate::clock::Unix;
+use crate::fate::digest;
 
 /// Bytes before a record's key.
 pub const HEAD: usize = 60;
@@ -50,13 +49,6 @@
     pub result: Bytes,
 }
 
-/// The digest of a key or a body, the same in every build.
-pub fn digest(seed: u64, bytes: &[u8]) -> u64 {
-    let mut hasher = SipHasher13::new_with_keys(seed, 0);
-    hasher.write(bytes);
-    hasher.finish()
-}
-
 fn check(seed: u64, bytes: &[u8]) -> u32 {
     digest(seed ^ 1, bytes) as u32
 }
--- a/node/src/remembered/recovery.rs
+++ b/node/src/remembered/recovery.rs
@@ -9,9 +9,9 @@
 use bytes::Bytes;
 
 use super::ledger::{Ledger, Limits};
-use super::record::{self, digest, Found, Record, State, SEGMENT_HEAD};
+use super::record::{self, Found, Record, State, SEGMENT_HEAD};
 use crate::clock::Unix;
-use crate::exchange::{Fate, KeyRecord};
+use crate::fate::{digest, Fate, KeyRecord};
 
 /// A segment as it was read.
 pub struct Segment {
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -23,6 +23,7 @@
 use crate::fronts::guests::{Guest, Guests};
 use crate::fronts::jsonrpc;
 use crate::fronts::uwsgi::{self, Front, Ids};
+use crate::keeper::Keeper;
 use crate::names::Names;
 use crate::operators::{self, Office};
 use crate::remembered::Remembrance;
@@ -101,7 +102,7 @@
         let mut remembrance = Remembrance::closed(remembered, longest(&config));
         // The process before has the folder until it has handed over.
         let recovered = if upgrade { None } else { Some(remembrance.open()?) };
-        core.remember(remembrance, recovered);
+        core.keep(Keeper::new(remembrance), recovered);
     }
     spawn_local(core.run());
     let front = {
