--- /dev/null
+++ b/fleet/src/claims.rs
@@ -0,0 +1,811 @@
+//! Claims of this node's own tries: whether a run may begin, and when its result is safe. A run begins once a majority of
+//! the key's copies has granted its claim, in each list that is about; 'served' leaves once a majority holds the result.
+//! A claim that can't get there is given up, and its try waits for the run that stands in its way, or is turned away.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use crate::copies::millis;
+use crate::frame::{own, Asked, Blocker, Frame, Why};
+use crate::list::NodeId;
+use crate::lists::Lists;
+use crate::record::{Body, ClaimId, End, Fate, Key};
+use crate::{Time, READ_LATE};
+
+/// Claims under way, and ends that not every copy has confirmed.
+pub const MOST_CLAIMS: usize = 8192;
+/// Once a majority holds an end, the other copies are told of it for so long.
+const TOLD_FOR: Duration = Duration::from_secs(10);
+/// A question without an answer is asked again after this, then after twice as long, and so on up to the last.
+const AGAIN: Duration = Duration::from_millis(50);
+const AGAIN_LAST: Duration = Duration::from_millis(800);
+/// A try that waits for another node's run asks after it so often; it is told at once if nothing is lost.
+const ASKS: Duration = Duration::from_millis(200);
+/// What is not known so long before a request's due time is not hoped for: the answer needs time to leave. At most a
+/// quarter of the time that it has.
+const MARGIN: Duration = Duration::from_millis(250);
+
+/// A try of this node, as it is numbered there.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Token(pub u64);
+
+/// What a try is told.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub enum Said {
+    /// Its run may begin.
+    Granted,
+    /// Its run must not begin, and nothing is known to have begun.
+    Turned(Why),
+    /// Another try's run may have begun; what becomes of it is told next.
+    Elsewhere,
+    /// What became of another try's run.
+    Became(Fate),
+    /// Its key is that of another body.
+    Mismatch,
+    /// What became of another try's run is not known in time.
+    Unknown,
+    /// Whether a majority holds the result of its run.
+    Held(bool),
+}
+
+/// A claim as a try asks for it.
+#[derive(Debug, Clone)]
+pub struct Wanted {
+    /// The try.
+    pub token: Token,
+    /// Its key.
+    pub key: Key,
+    /// The digest of its body.
+    pub body: Body,
+    /// How long the key is remembered.
+    pub until: Time,
+    /// When its request came, on this node's clock and in Unix milliseconds.
+    pub door: (Time, u64),
+    /// When its caller stops waiting.
+    pub due: Time,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum Answer {
+    Open,
+    /// In this life of the copy.
+    Granted(u64),
+    Blocked(Blocker, Time),
+    Free,
+    Unsure(Why),
+    Kept,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum Stage {
+    Asking,
+    Granted,
+    /// It waits for what becomes of another claim.
+    Waiting,
+    Ending {
+        fate: Fate,
+        told: bool,
+    },
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Claim {
+    token: Token,
+    id: ClaimId,
+    key: Key,
+    body: Body,
+    until: Time,
+    door: (Time, u64),
+    place: u32,
+    /// When nothing more is hoped for.
+    hope: Time,
+    /// The numbers of its lists, and in each the holders and how many are a majority.
+    lists: Vec<(u64, Vec<NodeId>, usize)>,
+    answers: BTreeMap<NodeId, Answer>,
+    /// The latest lives of copies that are known.
+    lives: BTreeMap<NodeId, u64>,
+    stage: Stage,
+    /// When a majority held its end.
+    held_at: Option<Time>,
+    again: Duration,
+    again_at: Time,
+}
+
+/// What is to be done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Do {
+    /// Say this to a node.
+    Send(NodeId, Frame),
+    /// Tell this to a try.
+    Tell(Token, Said),
+}
+
+/// All claims of this node.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Claims {
+    me: NodeId,
+    life: u64,
+    next: u64,
+    claims: BTreeMap<ClaimId, Claim>,
+    by_token: BTreeMap<Token, ClaimId>,
+}
+
+impl Claims {
+    /// No claims yet, in this life of the node.
+    pub fn new(me: NodeId, life: u64) -> Claims {
+        Claims { me, life, next: 1, claims: BTreeMap::new(), by_token: BTreeMap::new() }
+    }
+
+    /// Claims that are not over.
+    pub fn count(&self) -> usize {
+        self.claims.len()
+    }
+
+    /// Further claims are of another life; those of now go on.
+    pub fn lives_as(&mut self, life: u64) {
+        self.life = life;
+    }
+
+    fn new_id(&mut self) -> ClaimId {
+        let id = ClaimId { node: self.me, life: self.life, number: self.next };
+        self.next += 1;
+        id
+    }
+
+    /// Asks for a claim.
+    pub fn want(&mut self, now: Time, wanted: Wanted, lists: &Lists, out: &mut Vec<Do>) {
+        let Wanted { token, key, body, until, door, due } = wanted;
+        if self.claims.len() >= MOST_CLAIMS {
+            // The oldest end that a majority holds is told to nobody any more.
+            let Some(held) = self.claims.values().find(|claim| claim.held_at.is_some()).map(|claim| claim.id)
+            else {
+                return out.push(Do::Tell(token, Said::Turned(Why::Full)));
+            };
+            self.forget(held);
+        }
+        let left = due.saturating_sub(now);
+        let mut claim = Claim {
+            token,
+            id: self.new_id(),
+            // It outlives the buffer that it was read into.
+            key: own(&key),
+            body,
+            until,
+            door,
+            place: lists.newest().place(self.me).map_or(u32::MAX, |place| place as u32),
+            hope: due.saturating_sub(MARGIN.min(left / 4)),
+            lists: Vec::new(),
+            answers: BTreeMap::new(),
+            lives: BTreeMap::new(),
+            stage: Stage::Asking,
+            held_at: None,
+            again: AGAIN,
+            again_at: now + AGAIN,
+        };
+        claim.goes_by(lists);
+        claim.ask(now, out);
+        self.by_token.insert(token, claim.id);
+        self.claims.insert(claim.id, claim);
+    }
+
+    /// A list has come or gone: what has not been granted is asked for anew, under the lists of now.
+    pub fn relist(&mut self, now: Time, lists: &Lists, out: &mut Vec<Do>) {
+        let asking: Vec<ClaimId> =
+            self.claims.values().filter(|claim| claim.stage == Stage::Asking).map(|claim| claim.id).collect();
+        for id in asking {
+            let fresh = self.new_id();
+            let Some(mut claim) = self.claims.remove(&id) else { continue };
+            claim.release(out);
+            claim.id = fresh;
+            claim.goes_by(lists);
+            claim.ask(now, out);
+            self.by_token.insert(claim.token, fresh);
+            self.claims.insert(fresh, claim);
+        }
+    }
+
+    /// The run of a try has ended.
+    pub fn ended(&mut self, now: Time, token: Token, fate: Fate, out: &mut Vec<Do>) {
+        let claim = self.by_token.get(&token).and_then(|id| self.claims.get_mut(id));
+        let Some(claim) = claim.filter(|claim| claim.stage == Stage::Granted) else {
+            return out.push(Do::Tell(token, Said::Held(false)));
+        };
+        claim.stage = Stage::Ending { fate, told: false };
+        claim.reopen();
+        claim.again = AGAIN;
+        claim.again(now, out);
+    }
+
+    /// The run of a try never began and never will.
+    pub fn release(&mut self, token: Token, out: &mut Vec<Do>) {
+        if let Some(claim) = self.by_token.remove(&token).and_then(|id| self.claims.remove(&id)) {
+            if !matches!(claim.stage, Stage::Ending { .. }) {
+                claim.release(out);
+            }
+        }
+    }
+
+    /// A copy, in this life of it, has answered.
+    pub fn answered(&mut self, now: Time, from: NodeId, life: u64, frame: Frame, out: &mut Vec<Do>) {
+        let (id, answer, lives) = match frame {
+            Frame::Granted { claim, lives } => (claim, Answer::Granted(life), lives),
+            Frame::Blocked { claim, by } => (claim, Answer::Blocked(by, now), Vec::new()),
+            // It says which list this node lacks, and is asked again under that one.
+            Frame::Unsure { why: Why::Lists, .. } => return,
+            Frame::Unsure { claim, why } => (claim, Answer::Unsure(why), Vec::new()),
+            Frame::Free { claim } => (claim, Answer::Free, Vec::new()),
+            Frame::Kept { claim, kept: true } => (claim, Answer::Kept, Vec::new()),
+            Frame::Kept { claim, kept: false } => (claim, Answer::Open, Vec::new()),
+            _ => return,
+        };
+        let Some(claim) = self.claims.get_mut(&id) else { return };
+        let fits = match &answer {
+            Answer::Granted(_) => claim.stage == Stage::Asking,
+            Answer::Kept => matches!(claim.stage, Stage::Ending { .. }),
+            Answer::Free => claim.stage == Stage::Waiting,
+            Answer::Blocked(..) | Answer::Unsure(_) => matches!(claim.stage, Stage::Asking | Stage::Waiting),
+            Answer::Open => false,
+        };
+        if !fits || !claim.answers.contains_key(&from) {
+            return;
+        }
+        for (node, life) in lives.into_iter().chain([(from, life)]) {
+            let known = claim.lives.entry(node).or_default();
+            *known = life.max(*known);
+        }
+        claim.answers.insert(from, answer);
+        self.judge(now, id, out);
+    }
+
+    /// A copy can't be reached.
+    pub fn unreached(&mut self, now: Time, node: NodeId, out: &mut Vec<Do>) {
+        let open =
+            |claim: &&Claim| claim.stage == Stage::Asking && claim.answers.get(&node) == Some(&Answer::Open);
+        let open: Vec<ClaimId> = self.claims.values().filter(open).map(|claim| claim.id).collect();
+        for id in open {
+            if let Some(claim) = self.claims.get_mut(&id) {
+                claim.answers.insert(node, Answer::Unsure(Why::Unreached));
+            }
+            self.judge(now, id, out);
+        }
+    }
+
+    /// A link to a copy broke, with what was on it: what it owes is asked again.
+    pub fn broken(&mut self, node: NodeId, out: &mut Vec<Do>) {
+        for claim in self.claims.values() {
+            if claim.answers.get(&node) == Some(&Answer::Open) {
+                out.extend(claim.question(Time::MAX).map(|frame| Do::Send(node, frame)));
+            }
+        }
+    }
+
+    /// Time passes. Copies of which this is true are hardly there.
+    pub fn tick(&mut self, now: Time, lost: impl Fn(NodeId) -> bool, out: &mut Vec<Do>) {
+        let due = |claim: &&Claim| {
+            let runs = claim.stage == Stage::Granted;
+            let hopes = !runs && !matches!(claim.stage, Stage::Ending { told: true, .. });
+            (!runs && now >= claim.again_at) || (hopes && now >= claim.hope) || now >= claim.until + READ_LATE
+        };
+        let due: Vec<ClaimId> = self.claims.values().filter(due).map(|claim| claim.id).collect();
+        for id in due {
+            let Some(claim) = self.claims.get_mut(&id) else { continue };
+            if now >= claim.until + READ_LATE {
+                self.forget(id);
+                continue;
+            }
+            if now >= claim.hope && self.give_up(id, out) {
+                continue;
+            }
+            let Some(claim) = self.claims.get_mut(&id) else { continue };
+            if now < claim.again_at || claim.stage == Stage::Granted {
+                continue;
+            }
+            if claim.held_at.is_some_and(|held| now >= held + TOLD_FOR) {
+                self.forget(id);
+                continue;
+            }
+            if claim.stage == Stage::Asking {
+                // Who does not answer and is hardly there is not hoped for any longer.
+                for (node, answer) in claim.answers.iter_mut().filter(|(_, answer)| **answer == Answer::Open)
+                {
+                    if lost(*node) {
+                        *answer = Answer::Unsure(Why::Unreached);
+                    }
+                }
+                // What stood in its way may be gone by now.
+                claim
+                    .answers
+                    .values_mut()
+                    .filter(|a| matches!(a, Answer::Blocked(..)))
+                    .for_each(|a| *a = Answer::Open);
+            }
+            if claim.stage == Stage::Waiting {
+                claim.reopen();
+            }
+            claim.again(now, out);
+            self.judge(now, id, out);
+        }
+    }
+
+    /// The time of a try is up; returns whether its claim is over.
+    fn give_up(&mut self, id: ClaimId, out: &mut Vec<Do>) -> bool {
+        let Some(claim) = self.claims.get_mut(&id) else { return true };
+        match &mut claim.stage {
+            Stage::Granted => false,
+            Stage::Ending { told, .. } => {
+                if !std::mem::replace(told, true) {
+                    out.push(Do::Tell(claim.token, Said::Held(false)));
+                }
+                // The copies are still owed the result.
+                false
+            }
+            Stage::Asking => {
+                let begun = claim.answers.values().any(|answer| matches!(answer, Answer::Blocked(..)));
+                claim.release(out);
+                let said = if begun { Said::Unknown } else { Said::Turned(Why::Late) };
+                out.push(Do::Tell(claim.token, said));
+                self.forget(id);
+                true
+            }
+            Stage::Waiting => {
+                out.push(Do::Tell(claim.token, Said::Unknown));
+                self.forget(id);
+                true
+            }
+        }
+    }
+
+    fn forget(&mut self, id: ClaimId) {
+        if let Some(claim) = self.claims.remove(&id) {
+            if self.by_token.get(&claim.token) == Some(&id) {
+                self.by_token.remove(&claim.token);
+            }
+        }
+    }
+
+    /// All that is not granted yet is given up: this node has slept, and may go by what is out of date.
+    pub fn woke(&mut self, out: &mut Vec<Do>) {
+        let waits: Vec<ClaimId> =
+            self.claims.values().filter(|claim| claim.stage == Stage::Asking).map(|c| c.id).collect();
+        for id in waits {
+            if let Some(claim) = self.claims.get(&id) {
+                claim.release(out);
+                out.push(Do::Tell(claim.token, Said::Turned(Why::Unheard)));
+            }
+            self.forget(id);
+        }
+    }
+
+    /// What became of a claim of this node, as a copy asks: the answer, if there is one yet. `beside` if a process of an
+    /// earlier life may still be there.
+    pub fn what(&self, now: Time, key: &Key, claim: ClaimId, body: Body, beside: bool) -> Option<Frame> {
+        if let Some(known) = self.claims.get(&claim) {
+            return match known.stage {
+                Stage::Ending { .. } => known.question(now),
+                Stage::Waiting => Some(Frame::Release { key: key.clone(), claim }),
+                Stage::Asking | Stage::Granted => None,
+            };
+        }
+        if claim.life == self.life {
+            // A run that has ended is known here until a majority holds its end: this one never began.
+            return Some(Frame::Release { key: key.clone(), claim });
+        }
+        // Whoever knew what became of it is gone. Any end that is still told stands above this one.
+        let gone = End::of_the_gone(claim, body);
+        (claim.life < self.life && !beside).then(|| Frame::Ended { key: key.clone(), keep_ms: 0, end: gone })
+    }
+
+    /// Draws the conclusion from the answers so far.
+    fn judge(&mut self, now: Time, id: ClaimId, out: &mut Vec<Do>) {
+        let Some(claim) = self.claims.get_mut(&id) else { return };
+        let token = claim.token;
+        match &mut claim.stage {
+            Stage::Granted => {}
+            Stage::Ending { told, .. } => {
+                let held = claim.lists.iter().all(|(_, holders, majority)| {
+                    holders.iter().filter(|node| claim.answers.get(node) == Some(&Answer::Kept)).count()
+                        >= *majority
+                });
+                if held {
+                    claim.held_at.get_or_insert(now);
+                    if !std::mem::replace(told, true) {
+                        out.push(Do::Tell(token, Said::Held(true)));
+                    }
+                }
+                if claim.answers.values().all(|answer| *answer == Answer::Kept) {
+                    self.forget(id);
+                }
+            }
+            Stage::Asking | Stage::Waiting => {
+                let Some(verdict) = claim.verdict() else { return };
+                let waits = claim.stage == Stage::Waiting;
+                match verdict {
+                    Verdict::Granted => {
+                        claim.stage = Stage::Granted;
+                        out.push(Do::Tell(token, Said::Granted));
+                    }
+                    Verdict::Elsewhere if waits => {}
+                    Verdict::Elsewhere => {
+                        claim.release(out);
+                        claim.stage = Stage::Waiting;
+                        (claim.again, claim.again_at) = (ASKS, now + ASKS);
+                        out.push(Do::Tell(token, Said::Elsewhere));
+                    }
+                    Verdict::Over(said) => {
+                        if !waits {
+                            claim.release(out);
+                        }
+                        out.push(Do::Tell(token, said));
+                        self.forget(id);
+                    }
+                }
+            }
+        }
+    }
+}
+
+enum Verdict {
+    Granted,
+    /// Another claim stands in the way, whose end is not known yet.
+    Elsewhere,
+    Over(Said),
+}
+
+impl Claim {
+    fn goes_by(&mut self, lists: &Lists) {
+        let of = |list: &std::sync::Arc<crate::list::List>| {
+            (list.number(), list.holders(&self.key), list.majority())
+        };
+        self.lists = lists.about().iter().map(of).collect();
+        let holders: BTreeSet<NodeId> =
+            self.lists.iter().flat_map(|(_, holders, _)| holders).copied().collect();
+        self.answers = holders.into_iter().map(|node| (node, Answer::Open)).collect();
+    }
+
+    fn reopen(&mut self) {
+        self.answers.values_mut().for_each(|answer| *answer = Answer::Open);
+    }
+
+    fn keep_ms(&self, now: Time) -> u64 {
+        millis(self.until.saturating_sub(now))
+    }
+
+    /// What a copy is asked at this stage. Where `now` is not known, a key is remembered for longer than it need be.
+    fn question(&self, now: Time) -> Option<Frame> {
+        let keep_ms =
+            if now == Time::MAX { millis(self.until.saturating_sub(self.door.0)) } else { self.keep_ms(now) };
+        let key = self.key.clone();
+        match &self.stage {
+            Stage::Asking => {
+                let lists = self.lists.iter().map(|(number, ..)| *number).collect();
+                Some(Frame::Claim(Asked { claim: self.id, key, body: self.body, keep_ms, lists }))
+            }
+            Stage::Waiting => Some(Frame::Ask { claim: self.id, key }),
+            Stage::Ending { fate, .. } => {
+                let (door, place, claim, body) = (self.door.1, self.place, self.id, self.body);
+                Some(Frame::Ended { key, keep_ms, end: End { door, place, claim, fate: fate.clone(), body } })
+            }
+            Stage::Granted => None,
+        }
+    }
+
+    fn ask(&mut self, now: Time, out: &mut Vec<Do>) {
+        let Some(question) = self.question(now) else { return };
+        let open = self.answers.iter().filter(|(_, answer)| **answer == Answer::Open);
+        out.extend(open.map(|(node, _)| Do::Send(*node, question.clone())));
+    }
+
+    fn again(&mut self, now: Time, out: &mut Vec<Do>) {
+        self.ask(now, out);
+        self.again_at = now + self.again;
+        if self.stage != Stage::Waiting {
+            self.again = (self.again * 2).min(AGAIN_LAST);
+        }
+    }
+
+    fn release(&self, out: &mut Vec<Do>) {
+        let frame = Frame::Release { key: self.key.clone(), claim: self.id };
+        out.extend(self.answers.keys().map(|node| Do::Send(*node, frame.clone())));
+    }
+
+    /// Whether this copy's grant counts: it is of the copy's latest life that any copy knows.
+    fn grants(&self, node: &NodeId) -> bool {
+        matches!(self.answers.get(node), Some(Answer::Granted(life)) if self.lives.get(node) == Some(life))
+    }
+
+    fn verdict(&self) -> Option<Verdict> {
+        let blocked: Vec<(&Blocker, Time)> = self
+            .answers
+            .values()
+            .filter_map(|answer| match answer {
+                Answer::Blocked(by, at) => Some((by, *at)),
+                _ => None,
+            })
+            .collect();
+        // One whose window was surely over when this request came is not this request.
+        let past = |(by, at): &&(&Blocker, Time)| {
+            by.past_ms > 0 && self.door.0 > at.saturating_sub(Duration::from_millis(by.past_ms))
+        };
+        if blocked.iter().any(|blocker| past(&blocker)) {
+            return Some(Verdict::Over(Said::Turned(Why::Past)));
+        }
+        if let Some((by, end)) = blocked.iter().find_map(|(by, _)| Some((by, by.ended.as_ref()?))) {
+            let said = if by.body == self.body { Said::Became(end.fate.clone()) } else { Said::Mismatch };
+            return Some(Verdict::Over(said));
+        }
+        let all = |holds: &dyn Fn(&[NodeId]) -> usize| {
+            self.lists.iter().all(|(_, holders, majority)| holds(holders) >= *majority)
+        };
+        let count = |holders: &[NodeId], counts: &dyn Fn(&NodeId) -> bool| {
+            holders.iter().filter(|n| counts(n)).count()
+        };
+        if self.stage == Stage::Waiting {
+            let free = |node: &NodeId| self.answers.get(node) == Some(&Answer::Free);
+            return all(&|holders| count(holders, &free)).then_some(Verdict::Over(Said::Turned(Why::Freed)));
+        }
+        if all(&|holders| count(holders, &|node| self.grants(node))) {
+            return Some(Verdict::Granted);
+        }
+        let open = |node: &NodeId| self.grants(node) || self.answers.get(node) == Some(&Answer::Open);
+        if all(&|holders| count(holders, &open)) {
+            return None;
+        }
+        let Some(first) = blocked.iter().map(|(by, _)| by.claim).min() else {
+            let why = self.answers.values().find_map(|answer| match answer {
+                Answer::Unsure(why) => Some(*why),
+                _ => None,
+            });
+            // A grant of a life that is over is as good as none.
+            return Some(Verdict::Over(Said::Turned(why.unwrap_or(Why::Returning))));
+        };
+        // Where several tries have a part of the copies each, the lowest claim goes on asking and the others give way.
+        let has_majority = self.lists.iter().any(|(_, holders, majority)| {
+            let by = |node: &NodeId| matches!(self.answers.get(node), Some(Answer::Blocked(by, _)) if by.claim == first);
+            count(holders, &by) >= *majority
+        });
+        if self.id < first && !has_majority {
+            return None;
+        }
+        let (by, _) = blocked.iter().find(|(by, _)| by.claim == first)?;
+        Some(if by.body == self.body { Verdict::Elsewhere } else { Verdict::Over(Said::Mismatch) })
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::list::tests::list;
+    use bytes::Bytes;
+    use std::sync::Arc;
+
+    fn id(n: usize) -> NodeId {
+        NodeId::of(&format!("n{n}"))
+    }
+
+    fn at(millis: u64) -> Time {
+        Duration::from_millis(millis)
+    }
+
+    fn lists() -> Lists {
+        Lists::new(id(1), Arc::new(list(1, &[1, 2, 3], 1)))
+    }
+
+    fn wanted(token: u64) -> Wanted {
+        let key = Bytes::from("k");
+        Wanted { token: Token(token), key, body: 5, until: at(10_000), door: (at(0), 1), due: at(2_000) }
+    }
+
+    struct Place {
+        claims: Claims,
+        lists: Lists,
+        out: Vec<Do>,
+    }
+
+    impl Place {
+        fn new() -> Place {
+            let (mut claims, lists, mut out) = (Claims::new(id(1), 4), lists(), Vec::new());
+            claims.want(at(0), wanted(1), &lists, &mut out);
+            assert_eq!(out.len(), 3, "every copy is asked: {out:?}");
+            out.clear();
+            Place { claims, lists, out }
+        }
+
+        fn id(&self) -> ClaimId {
+            ClaimId { node: id(1), life: 4, number: 1 }
+        }
+
+        fn told(&mut self) -> Vec<Said> {
+            let told = self.out.drain(..).filter_map(|done| match done {
+                Do::Tell(_, said) => Some(said),
+                Do::Send(..) => None,
+            });
+            told.collect()
+        }
+
+        fn grant(&mut self, from: usize, life: u64, lives: Vec<(NodeId, u64)>) -> Vec<Said> {
+            let frame = Frame::Granted { claim: self.id(), lives };
+            self.claims.answered(at(1), id(from), life, frame, &mut self.out);
+            self.told()
+        }
+
+        fn block(&mut self, from: usize, by: ClaimId, ended: Option<&'static str>) -> Vec<Said> {
+            let fate = |result| Fate::Done(Bytes::from(result));
+            let ended = ended.map(|result| End { door: 0, place: 0, claim: by, fate: fate(result), body: 5 });
+            let by = Blocker { claim: by, body: 5, ended, past_ms: 0 };
+            let frame = Frame::Blocked { claim: self.id(), by };
+            self.claims.answered(at(1), id(from), 1, frame, &mut self.out);
+            self.told()
+        }
+
+        fn unsure(&mut self, from: usize) -> Vec<Said> {
+            let frame = Frame::Unsure { claim: self.id(), why: Why::Returning };
+            self.claims.answered(at(1), id(from), 1, frame, &mut self.out);
+            self.told()
+        }
+    }
+
+    fn other(number: u64) -> ClaimId {
+        ClaimId { node: NodeId(u64::MAX), life: 1, number }
+    }
+
+    #[test]
+    fn a_majority_lets_a_run_begin_and_a_majority_lets_its_result_leave() {
+        let mut place = Place::new();
+        assert_eq!(place.grant(2, 1, vec![]), []);
+        assert_eq!(place.grant(3, 1, vec![]), [Said::Granted]);
+        place.claims.ended(at(5), Token(1), Fate::Done("job".into()), &mut place.out);
+        assert_eq!(place.out.len(), 3, "every copy is told");
+        place.out.clear();
+        let claim = place.id();
+        for (from, said) in [(1, vec![]), (2, vec![Said::Held(true)]), (3, vec![])] {
+            place.claims.answered(at(6), id(from), 1, Frame::Kept { claim, kept: true }, &mut place.out);
+            assert_eq!(place.told(), said);
+        }
+        assert_eq!(place.claims.count(), 0);
+    }
+
+    #[test]
+    fn a_grant_of_a_life_that_is_over_does_not_count() {
+        let mut place = Place::new();
+        assert_eq!(place.grant(2, 1, vec![]), []);
+        assert_eq!(place.grant(3, 1, vec![(id(2), 2)]), [], "the second has lost its state since");
+        assert_eq!(place.grant(2, 2, vec![]), [Said::Granted]);
+    }
+
+    #[test]
+    fn who_can_not_get_a_majority_waits_for_the_run_in_its_way_and_gets_what_became_of_it() {
+        let mut place = Place::new();
+        assert_eq!(place.block(2, other(1), None), []);
+        assert_eq!(place.block(3, other(1), None), [Said::Elsewhere]);
+        assert_eq!(place.block(3, other(1), Some("job")), [Said::Became(Fate::Done("job".into()))]);
+        assert_eq!(place.claims.count(), 0);
+    }
+
+    #[test]
+    fn an_end_is_believed_whoever_tells_it_and_a_mismatch_is_told() {
+        let mut place = Place::new();
+        place.grant(2, 1, vec![]);
+        assert_eq!(place.block(3, other(1), Some("job")), [Said::Became(Fate::Done("job".into()))]);
+        let mut place = Place::new();
+        let by = Blocker { claim: other(1), body: 6, ended: None, past_ms: 0 };
+        for from in [2, 3] {
+            let frame = Frame::Blocked { claim: place.id(), by: by.clone() };
+            place.claims.answered(at(1), id(from), 1, frame, &mut place.out);
+        }
+        assert_eq!(place.told(), [Said::Mismatch]);
+    }
+
+    #[test]
+    fn without_a_majority_that_can_say_nothing_runs_and_the_try_is_turned_away_at_once() {
+        let mut place = Place::new();
+        assert_eq!(place.grant(1, 1, vec![]), []);
+        assert_eq!(place.unsure(2), []);
+        place.claims.unreached(at(1), id(3), &mut place.out);
+        let released =
+            place.out.iter().filter(|done| matches!(done, Do::Send(_, Frame::Release { .. }))).count();
+        assert_eq!(released, 3);
+        assert!(matches!(place.told()[..], [Said::Turned(Why::Returning | Why::Unreached)]));
+    }
+
+    #[test]
+    fn of_two_that_share_the_copies_the_lower_claim_goes_on_asking() {
+        let mut place = Place::new();
+        place.grant(1, 1, vec![]);
+        place.claims.unreached(at(1), id(3), &mut place.out);
+        assert_eq!(place.block(2, other(1), None), [], "this one is lower");
+        place.claims.tick(at(60), |_| false, &mut place.out);
+        assert!(matches!(place.out[..], [Do::Send(to, Frame::Claim(_))] if to == id(2)), "{:?}", place.out);
+        place.out.clear();
+        assert_eq!(place.grant(2, 1, vec![]), [Said::Granted]);
+        let mut place = Place::new();
+        place.grant(1, 1, vec![]);
+        place.claims.unreached(at(1), id(3), &mut place.out);
+        let low = ClaimId { node: NodeId(0), life: 1, number: 1 };
+        assert_eq!(place.block(2, low, None), [Said::Elsewhere]);
+    }
+
+    #[test]
+    fn nothing_is_waited_for_past_its_time() {
+        let mut place = Place::new();
+        place.claims.tick(at(1_749), |_| false, &mut place.out);
+        assert_eq!(place.told(), []);
+        place.claims.tick(at(1_750), |_| false, &mut place.out);
+        assert_eq!(place.told(), [Said::Turned(Why::Late)]);
+        let mut place = Place::new();
+        place.block(2, other(1), None);
+        place.block(3, other(1), None);
+        place.claims.tick(at(1_750), |_| false, &mut place.out);
+        assert_eq!(place.told(), [Said::Unknown]);
+        let mut place = Place::new();
+        place.grant(2, 1, vec![]);
+        place.grant(3, 1, vec![]);
+        place.claims.ended(at(5), Token(1), Fate::Done("job".into()), &mut place.out);
+        place.claims.tick(at(1_750), |_| false, &mut place.out);
+        assert_eq!(place.told(), [Said::Held(false)]);
+        assert_eq!(place.claims.count(), 1, "the copies are still owed the result");
+        place.claims.tick(at(18_000), |_| false, &mut place.out);
+        assert_eq!(place.claims.count(), 0);
+    }
+
+    #[test]
+    fn who_waited_for_a_run_that_never_began_is_turned_away() {
+        let mut place = Place::new();
+        place.block(2, other(1), None);
+        place.block(3, other(1), None);
+        let claim = place.id();
+        for (from, said) in [(2, vec![]), (1, vec![Said::Turned(Why::Freed)])] {
+            place.claims.answered(at(2), id(from), 1, Frame::Free { claim }, &mut place.out);
+            assert_eq!(place.told(), said);
+        }
+    }
+
+    #[test]
+    fn a_new_list_asks_anew_under_both() {
+        let mut place = Place::new();
+        place.grant(2, 1, vec![]);
+        place.lists.offer(Arc::new(list(2, &[1, 2, 4], 1)));
+        place.claims.relist(at(2), &place.lists, &mut place.out);
+        let asked: Vec<_> = place
+            .out
+            .drain(..)
+            .filter_map(|done| match done {
+                Do::Send(to, Frame::Claim(asked)) => Some((to, asked.claim.number, asked.lists)),
+                _ => None,
+            })
+            .collect();
+        assert_eq!(asked.len(), 4);
+        assert!(asked.iter().all(|(_, number, lists)| (*number, &lists[..]) == (2, &[1, 2][..])));
+        let claim = ClaimId { number: 2, ..place.id() };
+        for (from, granted) in [(1, false), (3, false), (4, true)] {
+            let frame = Frame::Granted { claim, lives: vec![] };
+            place.claims.answered(at(3), id(from), 1, frame, &mut place.out);
+            assert_eq!(
+                place.told() == [Said::Granted],
+                granted,
+                "1 and 3 are a majority of the first list alone"
+            );
+        }
+    }
+
+    #[test]
+    fn copies_are_told_what_became_of_a_claim() {
+        let mut place = Place::new();
+        let (claim, key) = (place.id(), Bytes::from("k"));
+        assert_eq!(place.claims.what(at(1), &key, claim, 5, false), None, "it may begin yet");
+        let unknown = ClaimId { number: 9, ..claim };
+        assert!(matches!(place.claims.what(at(1), &key, unknown, 5, false), Some(Frame::Release { .. })));
+        let before = ClaimId { life: 3, ..claim };
+        assert_eq!(
+            place.claims.what(at(1), &key, before, 5, true),
+            None,
+            "the process before may still run it"
+        );
+        let gone = place.claims.what(at(1), &key, before, 5, false);
+        assert!(matches!(gone, Some(Frame::Ended { end: End { fate: Fate::Failed, .. }, .. })));
+        place.grant(2, 1, vec![]);
+        place.grant(3, 1, vec![]);
+        assert_eq!(place.claims.what(at(1), &key, claim, 5, false), None, "it runs");
+        place.claims.ended(at(2), Token(1), Fate::Failed, &mut place.out);
+        assert!(matches!(place.claims.what(at(3), &key, claim, 5, false), Some(Frame::Ended { .. })));
+    }
+}
--- /dev/null
+++ b/fleet/src/frame.rs
@@ -0,0 +1,296 @@
+//! What nodes say to each other. Kinds are told by their position: a later build appends new ones, and new fields at the
+//! end of old ones, so that builds that know less skip what they don't know.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::list::{NodeId, Plain};
+use crate::record::{Body, ClaimId, End, Key};
+
+/// Kinds of frames that this build knows; later ones have higher numbers.
+pub const KINDS: u32 = 20;
+
+/// Who a node is, and what it goes by.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Hello {
+    /// Its name.
+    pub name: String,
+    /// Whom it means to reach.
+    pub to: NodeId,
+    /// Which life of it this is; a later one has a higher number.
+    pub life: u64,
+    /// The numbers and digests of the lists that are about there, the newest last.
+    pub lists: Vec<(u64, u64)>,
+}
+
+/// A claim as a copy is asked for it.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Asked {
+    /// The claim.
+    pub claim: ClaimId,
+    /// The key.
+    pub key: Key,
+    /// The digest of the request's body.
+    pub body: Body,
+    /// How much longer the key is remembered, in milliseconds.
+    pub keep_ms: u64,
+    /// The numbers of the lists that it needs majorities in.
+    pub lists: Vec<u64>,
+}
+
+/// What stands in the way of a claim.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Blocker {
+    /// The claim that has begun, or ended.
+    pub claim: ClaimId,
+    /// The digest of its body.
+    pub body: Body,
+    /// How it ended, if it has.
+    pub ended: Option<End>,
+    /// How long its window has been over, in milliseconds.
+    pub past_ms: u64,
+}
+
+/// Why a copy can't say.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Why {
+    /// It came back without its state and has neither caught up nor waited for a window.
+    Returning,
+    /// It has not heard a majority since it started or woke up.
+    Unheard,
+    /// It has no room for one more key.
+    Full,
+    /// Another process has its name.
+    Superseded,
+    /// It knows of other lists than those that the claim is made under.
+    Lists,
+    /// It has another list of the same number.
+    Contradicted,
+    /// It could not keep its word on its disk.
+    Unkept,
+    /// It can't be reached.
+    Unreached,
+    /// It is not on the list.
+    Unlisted,
+    /// Its time ran out.
+    Late,
+    /// The key's window is over, and it is not forgotten yet.
+    Past,
+    /// What it waited for never ran.
+    Freed,
+}
+
+/// Word of a member.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Rumor {
+    /// Whom it is about.
+    pub node: NodeId,
+    /// Its life and, in that, how often it has had to say that it is alive.
+    pub age: (u64, u32),
+    /// How it stands.
+    pub standing: Standing,
+}
+
+/// How a member stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Standing {
+    /// It is heard.
+    Alive,
+    /// It did not answer.
+    Suspect,
+    /// It did not answer for long.
+    Lost,
+}
+
+/// A place in a donor's table.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Position {
+    /// Which life of the donor.
+    pub life: u64,
+    /// When the entry runs out there, in nanoseconds.
+    pub until_ns: u64,
+    /// The entry's key.
+    pub key: Key,
+}
+
+/// What a donor knows of one key.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Copied {
+    /// The key.
+    pub key: Key,
+    /// How much longer it is remembered, in milliseconds.
+    pub keep_ms: u64,
+    /// Claims that may have begun.
+    pub begun: Vec<(ClaimId, Body)>,
+    /// The end that stands.
+    pub ended: Option<End>,
+}
+
+/// How far a copy's votes can be relied on.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Sound {
+    /// For all keys.
+    Whole,
+    /// For those whose other copies are enough of these, which it has caught up with.
+    By(Vec<NodeId>),
+}
+
+/// A part of a donor's table.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Page {
+    /// The round that it was asked in.
+    pub round: u32,
+    /// What the donor knows, the newest windows first.
+    pub records: Vec<Copied>,
+    /// Where the next part begins; none at the end.
+    pub next: Option<Position>,
+    /// How far the donor's own votes can be relied on.
+    pub sound: Sound,
+}
+
+/// What one node says to another.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Frame {
+    /// Who speaks; the first on every link, and again when something in it changes.
+    Hello(Hello),
+    /// The one that spoke has an earlier life than this one, which is known.
+    Superseded {
+        /// That life.
+        life: u64,
+    },
+    /// Asks for a list.
+    AskList {
+        /// Its number.
+        number: u64,
+    },
+    /// A list.
+    ListIs(Plain),
+    /// Asks whether one is there.
+    Ping {
+        /// Which one.
+        seq: u64,
+        /// Word of others.
+        rumors: Vec<Rumor>,
+    },
+    /// One is there.
+    Ack {
+        /// The ping's.
+        seq: u64,
+        /// Word of others.
+        rumors: Vec<Rumor>,
+    },
+    /// Asks to ask another.
+    PingFor {
+        /// Which one.
+        seq: u64,
+        /// Whom.
+        target: NodeId,
+    },
+    /// That other is there.
+    AckFor {
+        /// The ping's.
+        seq: u64,
+        /// Who.
+        target: NodeId,
+    },
+    /// Asks for a claim.
+    Claim(Asked),
+    /// Yours.
+    Granted {
+        /// The claim.
+        claim: ClaimId,
+        /// Lives that this copy knows of the key's other copies.
+        lives: Vec<(NodeId, u64)>,
+    },
+    /// Another's.
+    Blocked {
+        /// The claim that was asked for.
+        claim: ClaimId,
+        /// What stands in its way.
+        by: Blocker,
+    },
+    /// Can't say.
+    Unsure {
+        /// The claim that was asked for.
+        claim: ClaimId,
+        /// Why.
+        why: Why,
+    },
+    /// A run has ended.
+    Ended {
+        /// The key.
+        key: Key,
+        /// How much longer it is remembered, in milliseconds.
+        keep_ms: u64,
+        /// Its end.
+        end: End,
+    },
+    /// An end is kept, or can't be.
+    Kept {
+        /// The run's claim.
+        claim: ClaimId,
+        /// Whether it is kept.
+        kept: bool,
+    },
+    /// A claim is given up: no run has begun by it and none will.
+    Release {
+        /// The key.
+        key: Key,
+        /// The claim.
+        claim: ClaimId,
+    },
+    /// Asks what is known of a key, without a claim.
+    Ask {
+        /// The claim of the try that wants to know, which is given up.
+        claim: ClaimId,
+        /// The key.
+        key: Key,
+    },
+    /// Nothing has begun or ended.
+    Free {
+        /// The claim of the try that wanted to know.
+        claim: ClaimId,
+    },
+    /// Asks a claim's node what became of it.
+    What {
+        /// The key.
+        key: Key,
+        /// The claim.
+        claim: ClaimId,
+        /// The digest of its body.
+        body: Body,
+    },
+    /// Asks for a part of the table.
+    Pull {
+        /// Which round of asking this is.
+        round: u32,
+        /// Where the part begins; none for the first.
+        from: Option<Position>,
+    },
+    /// A part of the table.
+    Page(Page),
+}
+
+impl Frame {
+    /// Whether it answers a frame of the other side's, and so goes back on the link that that came by.
+    pub fn answers(&self) -> bool {
+        matches!(
+            self,
+            Frame::Superseded { .. }
+                | Frame::ListIs(_)
+                | Frame::Ack { .. }
+                | Frame::AckFor { .. }
+                | Frame::Granted { .. }
+                | Frame::Blocked { .. }
+                | Frame::Unsure { .. }
+                | Frame::Kept { .. }
+                | Frame::Free { .. }
+                | Frame::Page(_)
+        )
+    }
+}
+
+/// A copy of bytes that outlives the buffer that they were read into.
+pub fn own(bytes: &Bytes) -> Bytes {
+    Bytes::copy_from_slice(bytes)
+}
--- /dev/null
+++ b/fleet/src/lib.rs
@@ -0,0 +1,30 @@
+//! What a fleet of nodes decides together, so that a keyed request runs once among all of them: who holds copies of a
+//! key ([`list`], [`lists`]), what a copy answers ([`copies`], [`record`]), whether a run may begin and when its result is
+//! safe ([`claims`]), who is heard ([`members`]), and what a node that comes back has to learn ([`catchup`]).
+//! [`node`] puts them together.
+//!
+//! There is no clock, socket, thread or random source here: time and events come in, actions go out, and random numbers
+//! come from a seed. `docs/replication.md` has the reasons.
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod catchup;
+pub mod claims;
+pub mod copies;
+pub mod frame;
+pub mod list;
+pub mod lists;
+pub mod members;
+pub mod node;
+pub mod record;
+
+use std::time::Duration;
+
+/// A point in time on a clock of this node's own that never goes back and does not stop while the process does.
+pub type Time = Duration;
+
+/// A key that has run out is kept this much longer, for tries that were read late.
+pub const READ_LATE: Duration = Duration::from_secs(8);
+
+/// The longest result that copies keep, in bytes.
+pub const LONGEST_RESULT: usize = 64 * 1024;
--- /dev/null
+++ b/fleet/src/node.rs
@@ -0,0 +1,1046 @@
+//! One node's part in the fleet: the lists, the members, the table of its copies, the claims of its own tries and what it
+//! has to learn, put together. An event goes in with the time, actions come out.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::fmt;
+use std::sync::Arc;
+use std::time::Duration;
+
+use crate::catchup::{weight, Catchup, Donor};
+use crate::claims::{Claims, Do, Said, Token, Wanted};
+use crate::copies::{Change, Copies, Link, Outcome};
+use crate::frame::{Copied, Frame, Hello, Sound, Standing, Why};
+use crate::list::{List, NodeId};
+use crate::lists::{Lists, Offer};
+use crate::members::{Counts, Members, Say};
+use crate::record::{ClaimId, End, Fate};
+use crate::Time;
+
+/// The link of a node with itself.
+pub const OWN: Link = 0;
+/// Time is told at least so often.
+pub const TICK: Duration = Duration::from_millis(50);
+/// A node that was not told the time for this long has slept.
+const SLEPT: Duration = Duration::from_secs(1);
+
+/// How a node begins.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Its name.
+    pub name: String,
+    /// The number of this life; higher than those before, as far as is known.
+    pub life: u64,
+    /// What random numbers begin with.
+    pub seed: u64,
+    /// What is held for others may take so much.
+    pub bytes: usize,
+    /// Bytes a second for catching up, on each side.
+    pub bytes_per_s: u64,
+    /// Between two probes.
+    pub probe: Duration,
+    /// What it wrote down in its last life, with its votes; none if that is lost or was never kept.
+    pub kept: Option<Vec<(Option<ClaimId>, Copied)>>,
+    /// Whether changes are written down before they are told.
+    pub durable: bool,
+}
+
+/// What happens to a node.
+#[derive(Debug, Clone)]
+pub enum Event {
+    /// A try wants to run.
+    Want(Wanted),
+    /// The run of a try has ended.
+    Ended(Token, Fate),
+    /// The run of a try never began and never will.
+    Release(Token),
+    /// A node, in this life of it, has said something on a link.
+    Heard {
+        /// The link.
+        link: Link,
+        /// Who.
+        from: NodeId,
+        /// Which life of it.
+        life: u64,
+        /// What.
+        frame: Frame,
+    },
+    /// A node can't be reached now.
+    Unreached(NodeId),
+    /// The link to a node broke, with whatever was on it.
+    Broken(NodeId),
+    /// A list of the operators'.
+    List(Arc<List>),
+    /// A change is written down, or could not be.
+    Stored(u64, bool),
+    /// Another process of this node takes over: this one grants nothing more.
+    Retire,
+    /// That process has gone: this one begins a new life.
+    Resume(u64),
+    /// Whether a process before this one may still run what it began.
+    Beside(bool),
+    /// Time passes.
+    Tick,
+}
+
+/// What is to be done.
+#[derive(Debug, Clone)]
+pub enum Action {
+    /// Say this to a node.
+    Send(NodeId, Frame),
+    /// Say this on the link that a question came by; nothing if that is gone.
+    Answer(Link, Frame),
+    /// Tell a try.
+    Tell(Token, Said),
+    /// Write this down, with the vote, and say by this number when it is.
+    Store(u64, Change, Option<ClaimId>),
+    /// What this node is, or goes by, has changed: greet those again that have a link.
+    Greet,
+    /// Something that operators may want to know.
+    Note(Note),
+}
+
+/// Something that operators may want to know.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Note {
+    /// A majority is heard: claims are made and granted.
+    Level,
+    /// It slept for so long, and goes by nothing that it heard before.
+    Slept(Duration),
+    /// Its votes can be relied on for every key, and so many keys are known.
+    Sound(usize),
+    /// Another process has its name, in this life.
+    Superseded(u64),
+    /// A list is taken.
+    Took(u64),
+    /// A list is turned down.
+    TurnedDown(String),
+    /// A list that a peer goes by counts too.
+    Learnt(u64),
+    /// A list is over.
+    Over(u64),
+    /// A node goes by a list of the same number that says something else.
+    Contradicts(NodeId, u64),
+    /// Two runs of one key have ended: the one that stands, and the other.
+    Conflict(End, End),
+    /// Not all that a donor holds has room here.
+    NoRoom(NodeId),
+}
+
+impl fmt::Display for Note {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Note::Level => write!(f, "a majority is heard, bookings run"),
+            Note::Slept(for_) => {
+                write!(
+                    f,
+                    "stood still for {} ms, nothing runs until a majority is heard again",
+                    for_.as_millis()
+                )
+            }
+            Note::Sound(keys) => write!(f, "has what it needs to vote, {keys} keys are known"),
+            Note::Superseded(life) => {
+                write!(f, "another process has this name (life {life}), nothing that has a key runs here")
+            }
+            Note::Took(number) => write!(f, "list {number} is taken"),
+            Note::TurnedDown(reason) => write!(f, "list not taken: {reason}"),
+            Note::Learnt(number) => write!(f, "a peer goes by list {number}, which counts too"),
+            Note::Over(number) => write!(f, "list {number} is over"),
+            Note::Contradicts(node, number) => {
+                write!(f, "node {:x} has another list {number}; it is not heard", node.0)
+            }
+            Note::Conflict(stands, falls) => write!(
+                f,
+                "conflict: a key ran twice, by {:x}/{}/{} and by {:x}/{}/{}; the first stands",
+                stands.claim.node.0,
+                stands.claim.life,
+                stands.claim.number,
+                falls.claim.node.0,
+                falls.claim.life,
+                falls.claim.number
+            ),
+            Note::NoRoom(node) => {
+                write!(f, "no room for all that node {:x} holds, so no vote for a window", node.0)
+            }
+        }
+    }
+}
+
+/// What a node has done, and how it stands.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Runs that were let begin.
+    pub granted: u64,
+    /// Tries that were turned away.
+    pub turned: u64,
+    /// Tries that got what became of another node's run.
+    pub became: u64,
+    /// Tries that did not in their time.
+    pub unknown: u64,
+    /// Results that a majority held in time.
+    pub held: u64,
+    /// Results that none held in time.
+    pub unheld: u64,
+    /// Claims that this node has granted as a copy.
+    pub votes: u64,
+    /// Claims that it has turned down as a copy.
+    pub votes_refused: u64,
+    /// Records that it learnt.
+    pub learnt: u64,
+    /// Records that it gave.
+    pub given: u64,
+    /// Keys that ran twice.
+    pub conflicts: u64,
+    /// How often it stood still.
+    pub slept: u64,
+}
+
+/// Whether this node takes part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Part {
+    Yes,
+    /// Another process has taken over.
+    Retired,
+    /// Another process has its name.
+    Superseded,
+}
+
+/// A node.
+#[derive(Debug, Clone)]
+pub struct Fleet {
+    me: NodeId,
+    name: String,
+    life: u64,
+    settings: (usize, u64),
+    durable: bool,
+    lists: Lists,
+    members: Members,
+    copies: Copies,
+    claims: Claims,
+    catchup: Catchup,
+    donor: Donor,
+    part: Part,
+    level: bool,
+    /// Whether it has ever been level in this life: before that nobody relies on this life's number.
+    was_level: bool,
+    sound: bool,
+    beside: bool,
+    last: Time,
+    own: VecDeque<Frame>,
+    stored: u64,
+    unstored: BTreeMap<u64, Vec<(Link, Frame)>>,
+    /// Nodes that go by a list which contradicts one that is about here.
+    contradicts: BTreeSet<NodeId>,
+    figures: Figures,
+}
+
+impl Fleet {
+    /// A node that begins now and goes by this list.
+    pub fn new(settings: Settings, list: Arc<List>, now: Time) -> Fleet {
+        let Settings { name, life, seed, bytes, bytes_per_s, probe, kept, durable } = settings;
+        let me = NodeId::of(&name);
+        let mut copies = Copies::new(me, life, bytes, kept.is_some(), now);
+        let sound = kept.is_some();
+        copies.restore(now, kept.unwrap_or_default());
+        let lists = Lists::new(me, list);
+        let mut members = Members::new(me, life, seed, probe);
+        members.are(&lists.everyone());
+        let mut fleet = Fleet {
+            me,
+            name,
+            life,
+            settings: (bytes, bytes_per_s),
+            durable,
+            lists,
+            members,
+            copies,
+            claims: Claims::new(me, life),
+            catchup: Catchup::new(bytes_per_s, now),
+            donor: Donor::new(bytes_per_s, now),
+            part: Part::Yes,
+            level: false,
+            was_level: false,
+            sound,
+            beside: false,
+            last: now,
+            own: VecDeque::new(),
+            stored: 0,
+            unstored: BTreeMap::new(),
+            contradicts: BTreeSet::new(),
+            figures: Figures::default(),
+        };
+        fleet.catchup.begin(&fleet.others());
+        fleet
+    }
+
+    fn others(&self) -> BTreeSet<NodeId> {
+        self.lists.everyone().into_iter().filter(|node| *node != self.me).collect()
+    }
+
+    /// Who this node is, as it greets another.
+    pub fn hello(&self, to: NodeId) -> Hello {
+        Hello { name: self.name.clone(), to, life: self.life, lists: self.lists.signed() }
+    }
+
+    /// This node.
+    pub fn me(&self) -> NodeId {
+        self.me
+    }
+
+    /// The lists that are about.
+    pub fn lists(&self) -> &Lists {
+        &self.lists
+    }
+
+    /// The table of its copies.
+    pub fn copies(&self) -> &Copies {
+        &self.copies
+    }
+
+    /// Whether it makes and grants claims.
+    pub fn is_level(&self) -> bool {
+        self.level && self.part == Part::Yes
+    }
+
+    /// Whether its votes can be relied on for every key.
+    pub fn is_sound(&self) -> bool {
+        self.sound
+    }
+
+    /// Donors that it still has to hear to the end.
+    pub fn behind(&self) -> usize {
+        self.catchup.left()
+    }
+
+    /// How the others stand.
+    pub fn counts(&self) -> Counts {
+        self.members.counts()
+    }
+
+    /// What it has done.
+    pub fn figures(&self) -> Figures {
+        self.figures
+    }
+
+    /// Claims of its own that are not over.
+    pub fn open(&self) -> usize {
+        self.claims.count()
+    }
+
+    /// Takes in what happened.
+    pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        let slept = now.saturating_sub(self.last);
+        self.last = self.last.max(now);
+        if slept > SLEPT {
+            self.woke(slept, out);
+        }
+        self.take(now, event, out);
+        while let Some(frame) = self.own.pop_front() {
+            self.heard(now, OWN, self.me, self.life, frame, out);
+        }
+    }
+
+    fn take(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
+        match event {
+            Event::Want(wanted) => self.want(now, wanted, out),
+            Event::Ended(token, fate) => {
+                self.with_claims(out, |claims, does| claims.ended(now, token, fate, does))
+            }
+            Event::Release(token) => self.with_claims(out, |claims, does| claims.release(token, does)),
+            Event::Heard { link, from, life, frame } => self.heard(now, link, from, life, frame, out),
+            Event::Unreached(node) => {
+                self.with_claims(out, |claims, does| claims.unreached(now, node, does));
+                self.with_members(out, |members, says| members.unreached(node, says));
+            }
+            Event::Broken(node) => self.with_claims(out, |claims, does| claims.broken(node, does)),
+            Event::List(list) => self.offered(now, list, out),
+            Event::Stored(number, kept) => self.is_stored(number, kept, out),
+            Event::Retire => {
+                if self.part == Part::Yes {
+                    self.part = Part::Retired;
+                }
+            }
+            Event::Resume(life) => self.resume(now, life, out),
+            Event::Beside(beside) => self.beside = beside,
+            Event::Tick => self.tick(now, out),
+        }
+    }
+
+    /// Why this node neither makes nor grants claims, if it does not.
+    fn aside(&self) -> Option<Why> {
+        match self.part {
+            Part::Superseded => Some(Why::Superseded),
+            _ if self.lists.newest().place(self.me).is_none() => Some(Why::Unlisted),
+            _ if !self.level => Some(Why::Unheard),
+            _ => None,
+        }
+    }
+
+    fn want(&mut self, now: Time, wanted: Wanted, out: &mut Vec<Action>) {
+        let too_long = wanted.until.saturating_sub(now) > self.lists.newest().window() + crate::READ_LATE;
+        if let Some(why) = self.aside().or(too_long.then_some(Why::Late)) {
+            self.figures.turned += 1;
+            return out.push(Action::Tell(wanted.token, Said::Turned(why)));
+        }
+        let Fleet { claims, lists, .. } = self;
+        let mut does = Vec::new();
+        claims.want(now, wanted, lists, &mut does);
+        self.carry_out(does, out);
+    }
+
+    fn with_claims(&mut self, out: &mut Vec<Action>, act: impl FnOnce(&mut Claims, &mut Vec<Do>)) {
+        let mut does = Vec::new();
+        act(&mut self.claims, &mut does);
+        self.carry_out(does, out);
+    }
+
+    fn carry_out(&mut self, does: Vec<Do>, out: &mut Vec<Action>) {
+        for done in does {
+            match done {
+                Do::Send(node, frame) => self.send(node, frame, out),
+                Do::Tell(token, said) => {
+                    match &said {
+                        Said::Granted => self.figures.granted += 1,
+                        Said::Turned(_) | Said::Mismatch => self.figures.turned += 1,
+                        Said::Became(_) => self.figures.became += 1,
+                        Said::Unknown => self.figures.unknown += 1,
+                        Said::Held(true) => self.figures.held += 1,
+                        Said::Held(false) => self.figures.unheld += 1,
+                        Said::Elsewhere => {}
+                    }
+                    out.push(Action::Tell(token, said));
+                }
+            }
+        }
+    }
+
+    fn with_members(&mut self, out: &mut Vec<Action>, act: impl FnOnce(&mut Members, &mut Vec<Say>)) {
+        let mut says = Vec::new();
+        act(&mut self.members, &mut says);
+        for say in says {
+            match say {
+                Say::To(node, frame) => self.send(node, frame, out),
+                Say::On(link, frame) => out.push(Action::Answer(link, frame)),
+            }
+        }
+    }
+
+    fn send(&mut self, node: NodeId, frame: Frame, out: &mut Vec<Action>) {
+        if node == self.me {
+            self.own.push_back(frame);
+        } else {
+            out.push(Action::Send(node, frame));
+        }
+    }
+
+    fn answer(&mut self, link: Link, frame: Frame, out: &mut Vec<Action>) {
+        if link == OWN {
+            self.own.push_back(frame);
+        } else {
+            out.push(Action::Answer(link, frame));
+        }
+    }
+
+    fn heard(&mut self, now: Time, link: Link, from: NodeId, life: u64, frame: Frame, out: &mut Vec<Action>) {
+        if let Frame::Hello(hello) = frame {
+            return self.greeted(link, from, hello, out);
+        }
+        if from != self.me {
+            self.copies.lives(from, life);
+            self.members.speaks(from, life);
+        }
+        match frame {
+            Frame::Superseded { life } => self.superseded(life, out),
+            Frame::AskList { number } => {
+                let known = self.lists.about().iter().find(|list| list.number() == number);
+                if let Some(list) = known {
+                    let plain = list.plain().clone();
+                    self.answer(link, Frame::ListIs(plain), out);
+                }
+            }
+            Frame::ListIs(plain) => {
+                if let Some(list) = List::new(plain).ok().filter(|_| !self.contradicts.contains(&from)) {
+                    let number = list.number();
+                    if self.lists.learn(Arc::new(list)) {
+                        out.push(Action::Note(Note::Learnt(number)));
+                        self.relisted(now, out);
+                    }
+                }
+            }
+            Frame::Ping { .. } | Frame::Ack { .. } | Frame::PingFor { .. } | Frame::AckFor { .. } => {
+                self.with_members(out, |members, says| members.told(now, link, from, frame, says));
+                self.levels(out);
+            }
+            Frame::Claim(asked) => {
+                let aside = match self.part {
+                    Part::Retired => Some(Why::Superseded),
+                    _ => self.aside(),
+                };
+                let aside = aside.or(self.contradicts.contains(&from).then_some(Why::Contradicted));
+                if let Some(why) = aside {
+                    self.figures.votes_refused += 1;
+                    return self.answer(link, Frame::Unsure { claim: asked.claim, why }, out);
+                }
+                let outcome = self.copies.claim(now, link, &asked, &self.lists);
+                let granted = outcome.answers.iter().any(|(_, frame)| matches!(frame, Frame::Granted { .. }));
+                if matches!(outcome.answers[..], [(_, Frame::Unsure { why: Why::Lists, .. })]) {
+                    let hello = Frame::Hello(self.hello(from));
+                    self.answer(link, hello, out);
+                }
+                let counted = if granted { &mut self.figures.votes } else { &mut self.figures.votes_refused };
+                *counted += 1;
+                self.outcome(outcome, out);
+            }
+            Frame::Ask { claim, key } => {
+                let outcome = self.copies.ask(now, link, claim, &key, &self.lists);
+                self.outcome(outcome, out);
+            }
+            Frame::Ended { key, keep_ms, end } => {
+                let outcome = self.copies.ended(now, link, &key, keep_ms, end);
+                self.outcome(outcome, out);
+            }
+            Frame::Release { key, claim } => {
+                let outcome = self.copies.release(now, &key, claim);
+                self.outcome(outcome, out);
+            }
+            Frame::What { key, claim, body } => {
+                if let Some(frame) = self.claims.what(now, &key, claim, body, self.beside) {
+                    self.send(from, frame, out);
+                }
+            }
+            Frame::Granted { .. }
+            | Frame::Blocked { .. }
+            | Frame::Unsure { .. }
+            | Frame::Free { .. }
+            | Frame::Kept { .. } => {
+                self.with_claims(out, |claims, does| claims.answered(now, from, life, frame, does));
+            }
+            Frame::Pull { round, from: position } => {
+                self.donor.asked(link, from, round, position);
+                self.give(now, out);
+            }
+            Frame::Page(page) => self.given(now, from, page, out),
+            Frame::Hello(_) => {}
+        }
+    }
+
+    fn greeted(&mut self, link: Link, from: NodeId, hello: Hello, out: &mut Vec<Action>) {
+        let known = self.copies.life_of(from);
+        if hello.life < known {
+            self.answer(link, Frame::Superseded { life: known }, out);
+        }
+        self.copies.lives(from, hello.life);
+        self.members.speaks(from, hello.life);
+        let contradicted =
+            hello.lists.iter().find(|(number, digest)| self.lists.contradicted(*number, *digest));
+        if let Some((number, _)) = contradicted {
+            if self.contradicts.insert(from) {
+                out.push(Action::Note(Note::Contradicts(from, *number)));
+            }
+            return;
+        }
+        self.contradicts.remove(&from);
+        if let Some((newest, _)) = hello.lists.last() {
+            self.lists.heard(from, *newest);
+        }
+        for (number, _) in hello.lists {
+            if self.lists.lacks(number) {
+                self.send(from, Frame::AskList { number }, out);
+            }
+        }
+        self.levels(out);
+    }
+
+    /// It takes part once it has heard a majority of its list's nodes, itself among them.
+    fn levels(&mut self, out: &mut Vec<Action>) {
+        if self.level {
+            return;
+        }
+        let list = self.lists.newest();
+        let heard = self.members.heard();
+        let count = list.ids().iter().filter(|node| **node == self.me || heard.contains(node)).count();
+        if count > list.ids().len() / 2 {
+            self.level = true;
+            self.was_level = true;
+            out.push(Action::Note(Note::Level));
+        }
+    }
+
+    fn superseded(&mut self, life: u64, out: &mut Vec<Action>) {
+        if life <= self.life || self.part != Part::Yes {
+            return;
+        }
+        if self.was_level {
+            self.part = Part::Superseded;
+            out.push(Action::Note(Note::Superseded(life)));
+            return;
+        }
+        // The clock has gone back since the life before: nothing rests on this number yet.
+        self.lives_as(life + 1, out);
+    }
+
+    fn lives_as(&mut self, life: u64, out: &mut Vec<Action>) {
+        self.life = life;
+        self.copies.lives_as(life);
+        self.claims.lives_as(life);
+        self.members.lives_as(life);
+        out.push(Action::Greet);
+    }
+
+    /// It is here again, and what others granted meanwhile it does not know.
+    fn resume(&mut self, now: Time, life: u64, out: &mut Vec<Action>) {
+        if self.part != Part::Retired {
+            return;
+        }
+        let life = life.max(self.life + 1);
+        let (bytes, _) = self.settings;
+        let lives: Vec<(NodeId, u64)> =
+            self.others().into_iter().map(|node| (node, self.copies.life_of(node))).collect();
+        self.copies = Copies::new(self.me, life, bytes, false, now);
+        lives.into_iter().for_each(|(node, life)| self.copies.lives(node, life));
+        (self.part, self.level, self.was_level, self.sound) = (Part::Yes, false, false, false);
+        self.members.woke();
+        self.lives_as(life, out);
+        self.catchup.begin(&self.others());
+    }
+
+    fn woke(&mut self, slept: Duration, out: &mut Vec<Action>) {
+        self.figures.slept += 1;
+        self.level = false;
+        self.members.woke();
+        self.with_claims(out, |claims, does| claims.woke(does));
+        // Its votes stand, but runs may have ended meanwhile that it has not heard of.
+        self.catchup.begin(&self.others());
+        out.push(Action::Note(Note::Slept(slept)));
+    }
+
+    fn offered(&mut self, now: Time, list: Arc<List>, out: &mut Vec<Action>) {
+        let number = list.number();
+        match self.lists.offer(list) {
+            Offer::Taken => {
+                out.push(Action::Note(Note::Took(number)));
+                self.relisted(now, out);
+            }
+            Offer::Same => {}
+            Offer::TurnedDown(reason) => out.push(Action::Note(Note::TurnedDown(reason))),
+        }
+    }
+
+    /// The lists that are about have changed.
+    fn relisted(&mut self, now: Time, out: &mut Vec<Action>) {
+        let before = self.others();
+        self.members.are(&self.lists.everyone());
+        self.catchup.keep(&before);
+        for node in before.iter().filter(|node| !self.copies.sound_by(**node)) {
+            if !self.sound && self.catchup.lacks(*node) {
+                self.catchup.also(*node);
+            }
+        }
+        let Fleet { claims, lists, .. } = self;
+        let mut does = Vec::new();
+        claims.relist(now, lists, &mut does);
+        self.carry_out(does, out);
+        out.push(Action::Greet);
+    }
+
+    fn outcome(&mut self, outcome: Outcome, out: &mut Vec<Action>) {
+        let Outcome { answers, questions, change, conflict } = outcome;
+        if let Some((stands, falls)) = conflict {
+            self.figures.conflicts += 1;
+            out.push(Action::Note(Note::Conflict(stands, falls)));
+        }
+        for (node, frame) in questions {
+            self.send(node, frame, out);
+        }
+        match change.filter(|_| self.durable) {
+            Some(change) => {
+                self.stored += 1;
+                let vote = self.copies.vote(&change.key);
+                self.unstored.insert(self.stored, answers);
+                out.push(Action::Store(self.stored, change, vote));
+            }
+            None => answers.into_iter().for_each(|(link, frame)| self.answer(link, frame, out)),
+        }
+    }
+
+    fn is_stored(&mut self, number: u64, kept: bool, out: &mut Vec<Action>) {
+        for (link, frame) in self.unstored.remove(&number).unwrap_or_default() {
+            let frame = match frame {
+                Frame::Granted { claim, .. } if !kept => Frame::Unsure { claim, why: Why::Unkept },
+                Frame::Kept { claim, .. } => Frame::Kept { claim, kept },
+                frame => frame,
+            };
+            self.answer(link, frame, out);
+        }
+    }
+
+    fn give(&mut self, now: Time, out: &mut Vec<Action>) {
+        while let Some((link, node, round, from)) = self.donor.next(now) {
+            let page = self.copies.page(now, node, round, from.as_ref(), &self.lists);
+            self.donor.gave(weight(&page));
+            self.figures.given += page.records.len() as u64;
+            self.answer(link, Frame::Page(page), out);
+        }
+    }
+
+    fn given(&mut self, now: Time, from: NodeId, page: crate::frame::Page, out: &mut Vec<Action>) {
+        let Some((records, last)) = self.catchup.given(from, page) else { return };
+        self.figures.learnt += records.len() as u64;
+        let keys: Vec<_> = records.iter().map(|record| record.key.clone()).collect();
+        let (all, conflicts) = self.copies.learn(now, records);
+        for (stands, falls) in conflicts {
+            self.figures.conflicts += 1;
+            out.push(Action::Note(Note::Conflict(stands, falls)));
+        }
+        if self.durable {
+            for key in keys {
+                self.stored += 1;
+                let change = self.copies.change_of(&key, now);
+                out.push(Action::Store(self.stored, change, self.copies.vote(&key)));
+            }
+        }
+        if !all {
+            out.push(Action::Note(Note::NoRoom(from)));
+        } else if let Some(sound) = last {
+            self.copies.caught_up(from, sound);
+            if !self.sound && self.copies.sound() == Sound::By(self.others().into_iter().collect()) {
+                self.is_sound_now(out);
+            }
+        }
+        self.ask_donors(now, out);
+    }
+
+    fn is_sound_now(&mut self, out: &mut Vec<Action>) {
+        self.sound = true;
+        out.push(Action::Note(Note::Sound(self.copies.size().0)));
+    }
+
+    fn ask_donors(&mut self, now: Time, out: &mut Vec<Action>) {
+        let mut asks = Vec::new();
+        let Fleet { catchup, members, .. } = self;
+        catchup.tick(now, |node| members.standing(node) == Standing::Alive, &mut asks);
+        for (node, frame) in asks {
+            self.send(node, frame, out);
+        }
+    }
+
+    fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        if self.copies.tick(now, &self.lists) && !self.sound {
+            self.is_sound_now(out);
+        }
+        if let Some(over) = self.lists.tick(now) {
+            out.push(Action::Note(Note::Over(over)));
+            self.relisted(now, out);
+        }
+        let level = self.level;
+        self.with_members(out, |members, says| members.tick(now, level, says));
+        let mut does = Vec::new();
+        let Fleet { claims, members, .. } = self;
+        claims.tick(now, |node| members.standing(node) != Standing::Alive, &mut does);
+        self.carry_out(does, out);
+        if self.level {
+            self.ask_donors(now, out);
+        }
+        self.give(now, out);
+        self.levels(out);
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::list::tests::{list, plain};
+    use crate::record::Key;
+    use bytes::Bytes;
+
+    fn at(millis: u64) -> Time {
+        Duration::from_millis(millis)
+    }
+
+    fn id(n: usize) -> NodeId {
+        NodeId::of(&format!("n{n}"))
+    }
+
+    fn settings(n: usize, life: u64, kept: bool) -> Settings {
+        Settings {
+            name: format!("n{n}"),
+            life,
+            seed: 1,
+            bytes: 64 << 20,
+            bytes_per_s: 16 << 20,
+            probe: Duration::from_millis(500),
+            kept: kept.then(Vec::new),
+            durable: false,
+        }
+    }
+
+    /// Nodes with links that lose nothing, in one life each.
+    struct Place {
+        nodes: BTreeMap<NodeId, Fleet>,
+        now: Time,
+        told: Vec<(NodeId, Token, Said)>,
+        notes: Vec<(NodeId, Note)>,
+        down: BTreeSet<NodeId>,
+    }
+
+    impl Place {
+        fn new(count: usize, kept: bool) -> Place {
+            let nodes: Vec<usize> = (1..=count).collect();
+            let list = Arc::new(list(1, &nodes, 1));
+            let fleets =
+                nodes.iter().map(|n| (id(*n), Fleet::new(settings(*n, 1, kept), list.clone(), at(0))));
+            let mut place = Place {
+                nodes: fleets.collect(),
+                now: at(0),
+                told: vec![],
+                notes: vec![],
+                down: BTreeSet::new(),
+            };
+            place.wait(200);
+            place
+        }
+
+        fn event(&mut self, node: NodeId, event: Event) {
+            let mut events = VecDeque::from([(node, event)]);
+            while let Some((node, event)) = events.pop_front() {
+                if self.down.contains(&node) {
+                    continue;
+                }
+                let mut out = Vec::new();
+                let Some(fleet) = self.nodes.get_mut(&node) else { continue };
+                fleet.handle(self.now, event, &mut out);
+                let life = fleet.life;
+                for action in out {
+                    match action {
+                        Action::Send(to, _) if self.down.contains(&to) => {
+                            events.push_back((node, Event::Unreached(to)));
+                        }
+                        Action::Send(to, frame) => {
+                            events.push_back((to, Event::Heard { link: node.0, from: node, life, frame }));
+                        }
+                        Action::Answer(link, frame) => {
+                            let to = NodeId(link);
+                            events.push_back((to, Event::Heard { link: node.0, from: node, life, frame }));
+                        }
+                        Action::Tell(token, said) => self.told.push((node, token, said)),
+                        Action::Note(note) => self.notes.push((node, note)),
+                        Action::Greet => {
+                            let hello = self.nodes[&node].hello(node);
+                            let others: Vec<NodeId> =
+                                self.nodes.keys().copied().filter(|n| *n != node).collect();
+                            for to in others {
+                                let frame = Frame::Hello(hello.clone());
+                                events
+                                    .push_back((to, Event::Heard { link: node.0, from: node, life, frame }));
+                            }
+                        }
+                        Action::Store(number, ..) => events.push_back((node, Event::Stored(number, true))),
+                    }
+                }
+            }
+        }
+
+        fn wait(&mut self, millis: u64) {
+            for _ in 0..millis / 50 {
+                self.now += TICK;
+                let nodes: Vec<NodeId> = self.nodes.keys().copied().collect();
+                for node in nodes {
+                    self.event(node, Event::Tick);
+                }
+            }
+        }
+
+        fn want(&mut self, n: usize, token: u64, key: &'static str) {
+            let wanted = Wanted {
+                token: Token(token),
+                key: Key::from_static(key.as_bytes()),
+                body: 1,
+                until: self.now + at(9_000),
+                door: (self.now, token),
+                due: self.now + at(2_000),
+            };
+            self.event(id(n), Event::Want(wanted));
+        }
+
+        fn told(&mut self) -> Vec<(u64, Said)> {
+            self.told.drain(..).map(|(_, token, said)| (token.0, said)).collect()
+        }
+    }
+
+    fn done(result: &'static str) -> Fate {
+        Fate::Done(Bytes::from(result))
+    }
+
+    #[test]
+    fn a_booking_runs_at_one_node_and_its_repeats_elsewhere_get_what_became_of_it() {
+        let mut place = Place::new(5, true);
+        place.want(1, 1, "k");
+        place.want(2, 2, "k");
+        assert_eq!(place.told(), [(1, Said::Granted), (2, Said::Elsewhere)]);
+        place.event(id(1), Event::Ended(Token(1), done("job")));
+        let mut told = place.told();
+        told.sort_by_key(|(token, _)| *token);
+        assert_eq!(told, [(1, Said::Held(true)), (2, Said::Became(done("job")))]);
+        place.want(3, 3, "k");
+        assert_eq!(place.told(), [(3, Said::Became(done("job")))]);
+        assert_eq!(place.nodes[&id(1)].open(), 0, "every copy has it");
+    }
+
+    #[test]
+    fn nothing_runs_before_a_majority_is_heard_or_while_no_copy_can_say() {
+        let mut place = Place::new(3, false);
+        place.want(1, 1, "k");
+        assert_eq!(place.told(), [(1, Said::Turned(Why::Returning))]);
+        place.wait(18_000);
+        place.want(1, 2, "k");
+        assert_eq!(place.told(), [(2, Said::Granted)]);
+        place.down.extend([id(2), id(3)]);
+        place.want(1, 3, "l");
+        assert_eq!(place.told(), [(3, Said::Turned(Why::Unreached))]);
+    }
+
+    #[test]
+    fn one_that_comes_back_without_its_state_catches_up_and_votes_again() {
+        let mut place = Place::new(3, true);
+        place.want(1, 1, "k");
+        place.event(id(1), Event::Ended(Token(1), done("job")));
+        let list = place.nodes[&id(2)].lists().newest().clone();
+        let fresh = Fleet::new(settings(2, 2, false), list, place.now);
+        place.nodes.insert(id(2), fresh);
+        place.notes.clear();
+        place.wait(300);
+        assert!(place.notes.contains(&(id(2), Note::Sound(1))), "{:?}", place.notes);
+        place.told.clear();
+        place.down.insert(id(3));
+        place.want(2, 2, "k");
+        assert_eq!(place.told(), [(2, Said::Became(done("job")))]);
+        place.want(2, 3, "l");
+        assert_eq!(place.told(), [(3, Said::Granted)], "with the first and itself");
+    }
+
+    #[test]
+    fn one_that_slept_goes_by_nothing_until_it_has_heard_a_majority() {
+        let mut place = Place::new(3, true);
+        let sleeper = id(1);
+        place.now += at(5_000);
+        place.down.extend([id(2), id(3)]);
+        place.event(sleeper, Event::Tick);
+        assert!(matches!(place.notes.last(), Some((_, Note::Slept(_)))));
+        place.want(1, 1, "k");
+        assert_eq!(place.told(), [(1, Said::Turned(Why::Unheard))]);
+        place.down.clear();
+        place.wait(1_000);
+        place.want(1, 2, "k");
+        assert_eq!(place.told(), [(2, Said::Granted)]);
+    }
+
+    #[test]
+    fn a_second_process_with_the_name_shuts_the_first_one_out() {
+        let mut place = Place::new(3, true);
+        let from = |life| Frame::Hello(Hello { name: "n1".into(), to: id(2), life, lists: vec![] });
+        place.event(id(2), Event::Heard { link: 99, from: id(1), life: 2, frame: from(2) });
+        place.event(id(2), Event::Heard { link: id(1).0, from: id(1), life: 1, frame: from(1) });
+        assert!(place.notes.contains(&(id(1), Note::Superseded(2))));
+        place.want(1, 1, "k");
+        assert_eq!(place.told(), [(1, Said::Turned(Why::Superseded))]);
+    }
+
+    #[test]
+    fn a_clock_that_went_back_makes_no_life_before_the_last() {
+        let mut place = Place::new(3, true);
+        let list = place.nodes[&id(1)].lists().newest().clone();
+        place.nodes.insert(id(1), Fleet::new(settings(1, 0, false), list, place.now));
+        let hello = Frame::Hello(place.nodes[&id(1)].hello(id(2)));
+        place.event(id(2), Event::Heard { link: id(1).0, from: id(1), life: 0, frame: hello });
+        assert_eq!(place.nodes[&id(1)].life, 2);
+    }
+
+    #[test]
+    fn a_list_spreads_by_number_and_claims_need_both_until_the_old_one_is_over() {
+        let mut place = Place::new(4, true);
+        let next = Arc::new(list(2, &[1, 2, 3, 4, 5], 1));
+        place.nodes.insert(id(5), Fleet::new(settings(5, 1, true), next.clone(), place.now));
+        place.event(id(1), Event::List(next.clone()));
+        assert!(
+            place.nodes.values().all(|node| node.lists().numbers() == [1, 2]),
+            "they ask for what they lack"
+        );
+        place.wait(100);
+        place.want(5, 1, "k");
+        assert_eq!(place.told(), [(1, Said::Granted)]);
+        place.wait(20_000);
+        assert!(place.nodes.values().all(|node| node.lists().numbers() == [2]));
+        place.event(id(1), Event::List(Arc::new(list(1, &[1, 2, 3, 4], 1))));
+        assert!(matches!(place.notes.last(), Some((_, Note::TurnedDown(_)))));
+    }
+
+    #[test]
+    fn one_with_another_list_of_the_same_number_is_not_heard() {
+        let mut place = Place::new(3, true);
+        let mut other = plain(1, &[1, 2, 3], 1);
+        other.members[0].zone = "elsewhere".into();
+        let other = Arc::new(List::new(other).unwrap());
+        place.nodes.insert(id(3), Fleet::new(settings(3, 2, true), other, place.now));
+        let hello = Frame::Hello(place.nodes[&id(3)].hello(id(1)));
+        for node in [1, 2] {
+            let frame = hello.clone();
+            place.event(id(node), Event::Heard { link: id(3).0, from: id(3), life: 2, frame });
+        }
+        place.wait(1_000);
+        place.want(3, 1, "k");
+        assert_eq!(place.told(), [(1, Said::Turned(Why::Contradicted))]);
+        place.want(1, 2, "k");
+        assert_eq!(place.told(), [(2, Said::Granted)]);
+    }
+
+    #[test]
+    fn what_is_not_written_down_is_not_granted() {
+        let mut place = Place::new(3, true);
+        for n in [2, 3] {
+            let list = place.nodes[&id(n)].lists().newest().clone();
+            let durable = Settings { durable: true, ..settings(n, 2, true) };
+            place.nodes.insert(id(n), Fleet::new(durable, list, place.now));
+        }
+        place.wait(200);
+        let mut out = Vec::new();
+        let asked = crate::frame::Asked {
+            claim: ClaimId { node: id(1), life: 1, number: 1 },
+            key: "k".into(),
+            body: 1,
+            keep_ms: 9_000,
+            lists: vec![1],
+        };
+        let now = place.now;
+        let node = place.nodes.get_mut(&id(2)).unwrap();
+        let event = Event::Heard { link: 5, from: id(1), life: 1, frame: Frame::Claim(asked) };
+        node.handle(now, event, &mut out);
+        let number = match &out[..] {
+            [Action::Store(number, change, vote)] => {
+                assert!(change.now.is_some() && vote.is_some());
+                *number
+            }
+            other => panic!("{other:?}"),
+        };
+        out.clear();
+        node.handle(now, Event::Stored(number, false), &mut out);
+        assert!(matches!(&out[..], [Action::Answer(5, Frame::Unsure { why: Why::Unkept, .. })]), "{out:?}");
+    }
+
+    #[test]
+    fn while_another_process_takes_over_it_grants_nothing_and_ends_what_it_began() {
+        let mut place = Place::new(3, true);
+        place.want(1, 1, "k");
+        assert_eq!(place.told(), [(1, Said::Granted)]);
+        place.event(id(1), Event::Retire);
+        place.event(id(1), Event::Ended(Token(1), done("job")));
+        assert_eq!(place.told(), [(1, Said::Held(true))]);
+        place.down.insert(id(3));
+        place.want(2, 2, "l");
+        assert_eq!(place.told(), [(2, Said::Turned(Why::Superseded))]);
+        place.down.clear();
+        place.event(id(1), Event::Resume(5));
+        place.wait(1_000);
+        place.down.insert(id(3));
+        place.want(2, 3, "m");
+        assert_eq!(place.told(), [(3, Said::Granted)], "it has caught up in a new life");
+    }
+}
