--- a/fleet/src/members.rs
+++ b/fleet/src/members.rs
@@ -422,7 +422,7 @@
             members.speaks(id(node), 1);
         }
         members.tick(at(0), true, &mut out);
-        let target = pings(&out)[0];
+        let target = *pings(&out).last().unwrap();
         out.clear();
         members.tick(at(400), true, &mut out);
         let helpers = out
@@ -452,7 +452,7 @@
         let (mut members, mut out) = (members(1, 4), Vec::new());
         (2..=4).for_each(|node| members.speaks(id(node), 1));
         members.tick(at(0), true, &mut out);
-        let target = pings(&out)[0];
+        let target = *pings(&out).last().unwrap();
         let seq = seq_to(&out, target);
         members.tick(at(400), true, &mut out);
         members.told(at(500), 1, id(9), Frame::AckFor { seq, target }, &mut out);
