--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -376,7 +376,7 @@
     }
 
     fn want(&mut self, now: Time, wanted: Wanted, out: &mut Vec<Action>) {
-        let too_long = wanted.until.saturating_sub(now) > self.lists.newest().window() + crate::READ_LATE;
+        let too_long = wanted.until.saturating_sub(now) > self.lists.newest().window();
         if let Some(why) = self.aside().or(too_long.then_some(Why::Late)) {
             self.figures.turned += 1;
             return out.push(Action::Tell(wanted.token, Said::Turned(why)));
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -1,10 +1,12 @@
-//! What a node is told: the platform's JSON, and the file that switches the uwsgi front on.
+//! What a node is told: the platform's JSON, and the operators' files that switch more on.
 
 use std::fmt;
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 use std::time::Duration;
 
+use oakwind_fleet::list::{List, Member, NodeId, Plain};
 use serde::Deserialize;
 use serde_json::value::{RawValue, Value};
 use swiftwinch::{Class, Effect};
@@ -74,11 +76,26 @@
     pub uwsgi: Option<PathBuf>,
     /// The file that makes keys and results outlast the process.
     pub remembered: Option<PathBuf>,
+    /// The file that makes the node one of a fleet whose nodes talk.
+    pub fleet: Option<PathBuf>,
+}
+
+/// All that a node is told.
+#[derive(Debug)]
+pub struct Told {
+    /// The platform's configuration.
+    pub config: Config,
+    /// The uwsgi front.
+    pub uwsgi: Option<Uwsgi>,
+    /// Where keys and results outlast the process.
+    pub remembered: Option<Remembered>,
+    /// The fleet.
+    pub fleet: Option<Fleet>,
 }
 
 impl Files {
     /// Reads and checks all there is.
-    pub fn read(&self) -> Result<(Config, Option<Uwsgi>, Option<Remembered>), BadConfig> {
+    pub fn read(&self) -> Result<Told, BadConfig> {
         let named = self.config.clone().or_else(|| std::env::var_os("BALANCER_CONFIG").map(PathBuf::from));
         let Some(path) = named else {
             return bad("no configuration: name one with --config or BALANCER_CONFIG");
@@ -92,7 +109,23 @@
             return bad("vm: missing, and no uwsgi servers run the requests in its place");
         }
         let remembered = self.remembered.as_deref().map(Remembered::read).transpose()?;
-        Ok((config, uwsgi, remembered))
+        let fleet = self.fleet.as_deref().map(Fleet::read).transpose()?;
+        if let Some(fleet) = &fleet {
+            let longest = config.longest();
+            if fleet.list.window() < longest {
+                return bad(format!(
+                    "fleet file, list.window_ms: {} at least, as the settings remember keys for that long",
+                    longest.as_millis()
+                ));
+            }
+            if fleet.links > config.sockets / 2 {
+                return bad(format!(
+                    "fleet file, links: half of limits.sockets ({}) at the most",
+                    config.sockets
+                ));
+            }
+        }
+        Ok(Told { config, uwsgi, remembered, fleet })
     }
 }
 
@@ -198,6 +231,13 @@
         })
     }
 
+    /// The longest that any key is remembered, with some to spare.
+    pub fn longest(&self) -> Duration {
+        let classes = self.settings.settings.classes.iter();
+        let longest = classes.map(|class| class.window.max(class.deadline)).max().unwrap_or_default();
+        longest + Duration::from_secs(1)
+    }
+
     /// The first key of `before` that this lacks. Guards a node that runs against a file that is not whole: what
     /// is left out would be taken for its default. Of the members of a list, those keys are needed that each had.
     pub fn lacks(&self, before: &Config) -> Option<String> {
@@ -396,6 +436,145 @@
     }
 }
 
+/// The fleet that a node is one of.
+#[derive(Debug, Clone)]
+pub struct Fleet {
+    /// This node's name on the list.
+    pub name: String,
+    /// Where peers connect.
+    pub listen: SocketAddr,
+    /// What is held for others may take so many bytes.
+    pub bytes: usize,
+    /// Links that may be open, both ways together.
+    pub links: usize,
+    /// Bytes a second for catching up.
+    pub bytes_per_s: u64,
+    /// Between two probes.
+    pub probe: Duration,
+    /// Where what this node has granted outlasts the process, if anywhere.
+    pub folder: Option<Remembered>,
+    /// The numbered list.
+    pub list: Arc<List>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawFleet {
+    name: String,
+    listen: String,
+    #[serde(default = "usual_memory_mb")]
+    memory_mb: usize,
+    #[serde(default = "usual_links")]
+    links: usize,
+    #[serde(default = "usual_kb_per_s")]
+    kb_per_s: u64,
+    #[serde(default = "usual_probe_ms")]
+    probe_ms: u64,
+    folder: Option<PathBuf>,
+    #[serde(default = "usual_file_mb")]
+    file_mb: u64,
+    list: RawList,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawList {
+    number: u64,
+    #[serde(default = "usual_copies")]
+    copies: usize,
+    window_ms: u64,
+    #[serde(rename = "member")]
+    members: Vec<RawMember>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawMember {
+    name: String,
+    address: String,
+    #[serde(default = "usual_zone")]
+    zone: String,
+}
+
+fn usual_memory_mb() -> usize {
+    64
+}
+
+fn usual_links() -> usize {
+    128
+}
+
+fn usual_kb_per_s() -> u64 {
+    16_000
+}
+
+fn usual_probe_ms() -> u64 {
+    500
+}
+
+fn usual_copies() -> usize {
+    3
+}
+
+fn usual_zone() -> String {
+    "here".into()
+}
+
+impl Fleet {
+    /// Reads the text of a fleet file.
+    pub fn parse(text: &str) -> Result<Self, BadConfig> {
+        let raw: RawFleet = operators_file("fleet", text)?;
+        let must = |holds: bool, what: &str| if holds { Ok(()) } else { bad(format!("fleet file, {what}")) };
+        must((1..=65_536).contains(&raw.memory_mb), "memory_mb: 1 to 65536 are possible")?;
+        must((4..=65_536).contains(&raw.links), "links: 4 to 65536 are possible")?;
+        must((64..=10_000_000).contains(&raw.kb_per_s), "kb_per_s: 64 to 10000000 are possible")?;
+        must((50..=60_000).contains(&raw.probe_ms), "probe_ms: 50 to 60000 are possible")?;
+        must((4..=65_536).contains(&raw.file_mb), "file_mb: 4 to 65536 are possible")?;
+        must(
+            raw.folder.as_ref().is_none_or(|folder| folder.is_absolute()),
+            "folder: an absolute path is needed",
+        )?;
+        let members = raw.list.members.into_iter().enumerate().map(|(i, member)| {
+            let address = address(&format!("fleet file, list.member[{i}].address"), &member.address)?;
+            Ok(Member { name: member.name, address, zone: member.zone })
+        });
+        let plain = Plain {
+            number: raw.list.number,
+            copies: raw.list.copies,
+            window: Duration::from_millis(raw.list.window_ms),
+            members: members.collect::<Result<_, BadConfig>>()?,
+        };
+        let list = List::new(plain).map_err(|e| BadConfig(format!("fleet file, {e}")))?;
+        Ok(Fleet {
+            listen: address("fleet file, listen", &raw.listen)?,
+            bytes: raw.memory_mb * 1024 * 1024,
+            links: raw.links,
+            bytes_per_s: raw.kb_per_s * 1000,
+            probe: Duration::from_millis(raw.probe_ms),
+            folder: raw.folder.map(|folder| Remembered {
+                folder,
+                file: raw.file_mb * 1024 * 1024,
+                batch: usual_batch(),
+            }),
+            name: raw.name,
+            list: Arc::new(list),
+        })
+    }
+
+    /// Reads the file.
+    pub fn read(path: &Path) -> Result<Self, BadConfig> {
+        Fleet::parse(&text_of(path)?)
+    }
+
+    /// Whether this node may start with it: it has to be on the list.
+    pub fn is_listed(&self) -> Result<(), BadConfig> {
+        match self.list.place(NodeId::of(&self.name)) {
+            Some(_) => Ok(()),
+            None => bad(format!("fleet file, name: {:?} is not on the list", self.name)),
+        }
+    }
+}
+
 impl Vrrp {
     fn from_raw(raw: RawVrrp) -> Result<Self, BadConfig> {
         if raw.vrid == 0 {
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -73,6 +73,8 @@
     Joining {
         since: Unix,
     },
+    /// It waits for the outcome of another node's run of its key; to the decisions it is over.
+    Elsewhere,
     Running {
         since: Unix,
     },
@@ -275,6 +277,7 @@
                     self.join_ended(joiner, &Kept::Failed, clock::now());
                 }
                 self.inherited();
+                self.keeper.alone();
                 self.update(|state| state.succeeds = false);
             }
             Input::Away(away) => self.update(|state| state.away = away),
@@ -393,10 +396,50 @@
         match word {
             Word::Begin(id, kept) => self.may_begin(id, kept),
             Word::Ended(id, end) => self.run_over(id, end),
+            Word::Elsewhere(id) => self.elsewhere(id),
+            Word::Became(id, kept) => self.became(id, kept),
+            Word::Unknown(id) => self.unknown(id, Outcome::Failed { overdue: true }),
+            Word::Mismatch(id) => self.unknown(id, Outcome::Mismatched),
             Word::Recalled(records) => self.recall(records),
         }
     }
 
+    /// A try's key runs at another node, or may: the cores here have nothing to do for it.
+    fn elsewhere(&mut self, id: RequestId) {
+        let Some(taken) = self.tries.get_mut(&id) else { return };
+        if let Phase::Running { since } = std::mem::replace(&mut taken.phase, Phase::Elsewhere) {
+            let took = clock::now().saturating_sub(since);
+            self.events.push(Event::Finished { id, outcome: Ended::Moot, took });
+        }
+    }
+
+    /// What became of another node's run of a try's key.
+    fn became(&mut self, id: RequestId, kept: Kept) {
+        self.elsewhere(id);
+        let answer = match &kept {
+            Kept::Done(result) => Outcome::Served(result.clone()),
+            Kept::Failed => Outcome::Failed { overdue: false },
+            Kept::NeverRan => self.not_now(),
+        };
+        self.answer(id, answer);
+        self.keep_fate(id, &kept);
+        self.tell_heir_of(id, kept.fate());
+        for joiner in self.keys.ended(id, kept.clone()) {
+            self.join_ended(joiner, &kept, clock::now());
+        }
+        self.forget(id);
+    }
+
+    /// It is not known what became of a try's key. The next try asks again.
+    fn unknown(&mut self, id: RequestId, answer: Outcome) {
+        self.elsewhere(id);
+        self.answer(id, answer);
+        for joiner in self.keys.abandon(id) {
+            self.join_ended(joiner, &Kept::Failed, clock::now());
+        }
+        self.forget(id);
+    }
+
     /// That a run begins is kept now, or could not be: then it does not begin.
     fn may_begin(&mut self, id: RequestId, kept: bool) {
         let Some(taken) = self.tries.get(&id) else { return };
@@ -414,7 +457,8 @@
     /// The run of a try that holds a key, as the keeper is asked about it.
     fn run_of(&self, id: RequestId) -> Option<Run> {
         let (key, body, until) = self.keys.held_by(id)?;
-        Some(Run { id, key, body, until })
+        let request = self.tries.get(&id).map(|taken| taken.request.clone());
+        Some(Run { id, request, key, body, until })
     }
 
     /// Has it kept how a run ended that nobody here waits for.
@@ -524,6 +568,10 @@
 
     fn drain(&mut self, stop: Unix) {
         let now = clock::now();
+        // What is not known by the stop will not be: guards what was read against having no answer then.
+        let late = |t: &&Try| t.phase == Phase::Elsewhere && t.request.due + OVERDUE >= stop;
+        let late: Vec<RequestId> = self.tries.values().filter(late).map(|t| t.id).collect();
+        late.into_iter().for_each(|id| self.unknown(id, Outcome::Failed { overdue: false }));
         if self.ends.state.borrow().draining.is_none() {
             self.events.push(Event::Drain(stop.saturating_sub(now)));
             self.update(|state| state.draining = Some((stop, now)));
@@ -535,10 +583,11 @@
             return log!("run of {txn:?} ended, which is not in hand");
         };
         let Some(taken) = self.tries.get(&id) else { return };
-        if matches!(taken.phase, Phase::Held | Phase::Joining { .. }) {
+        if matches!(taken.phase, Phase::Held | Phase::Joining { .. } | Phase::Elsewhere) {
             return log!("run of {txn:?} ended, which never began");
         }
         if end == End::NeverRan {
+            self.keeper.never_ran(id);
             return self.run_over(id, end);
         }
         let run = self.run_of(id);
@@ -554,7 +603,7 @@
         let Some(taken) = self.tries.get(&id) else { return };
         let txn = taken.request.txn.clone();
         let since = match taken.phase {
-            Phase::Held | Phase::Joining { .. } => return,
+            Phase::Held | Phase::Joining { .. } | Phase::Elsewhere => return,
             Phase::Running { since } | Phase::AtCall { since, .. } => since,
             Phase::Calling { since, .. } => {
                 self.command_call(CallCommand::GiveUp(txn));
--- a/node/src/core/keys.rs
+++ b/node/src/core/keys.rs
@@ -290,6 +290,14 @@
         joiners
     }
 
+    /// It is not known what became of a try's key: nothing of it is remembered here. Returns the tries that waited.
+    pub fn abandon(&mut self, id: RequestId) -> Vec<RequestId> {
+        let entry = self.held.get(&id).and_then(|key| self.entries.get_mut(key));
+        let joiners = entry.map(|entry| std::mem::take(&mut entry.joiners)).unwrap_or_default();
+        self.forget(id);
+        joiners
+    }
+
     /// Drops entries that have run out, now and then.
     pub fn sweep(&mut self, now: Unix) {
         if now < self.swept + Duration::from_secs(1) {
--- a/node/src/figures.rs
+++ b/node/src/figures.rs
@@ -2,11 +2,8 @@
 
 use std::cell::{Cell, RefCell};
 use std::fmt::Write;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::Arc;
 
 use crate::fate::Outcome;
-use crate::remembered::Tally;
 
 /// Every name begins with this.
 const PREFIX: &str = "svc";
@@ -28,8 +25,17 @@
     current: Cell<u64>,
     loaded: Cell<u64>,
     invalid: Cell<u64>,
-    /// Of the folder that outlasts the process, if there is one.
-    remembered: RefCell<Option<Arc<Tally>>>,
+    /// What others count, by name.
+    others: RefCell<Vec<Others>>,
+}
+
+/// Figures that another part keeps, by name.
+pub struct Others(Box<dyn Fn() -> Vec<(&'static str, u64)>>);
+
+impl std::fmt::Debug for Others {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_list().entries((self.0)()).finish()
+    }
 }
 
 impl Figures {
@@ -63,9 +69,9 @@
         counted.set(counted.get() + 1);
     }
 
-    /// Keys outlast the process from now on.
-    pub fn remembers(&self, tally: Arc<Tally>) {
-        *self.remembered.borrow_mut() = Some(tally);
+    /// Shows what another part counts too.
+    pub fn also(&self, others: Box<dyn Fn() -> Vec<(&'static str, u64)>>) {
+        self.others.borrow_mut().push(Others(others));
     }
 
     fn count(&self, class: u16, change: impl FnOnce(&mut Counts)) {
@@ -95,15 +101,8 @@
         line("current", None, self.current.get());
         line("conf_loaded", None, self.loaded.get());
         line("conf_invalid", None, self.invalid.get());
-        if let Some(tally) = &*self.remembered.borrow() {
-            let mut line = |name: &str, value: &AtomicU64| line(name, None, value.load(Ordering::Relaxed));
-            line("remembered_keys", &tally.keys);
-            line("remembered_bytes", &tally.bytes);
-            line("remembered_written", &tally.written);
-            line("remembered_refused", &tally.refused);
-            line("remembered_syncs", &tally.syncs);
-            line("remembered_damaged", &tally.damaged);
-            line("remembered_noise_bytes", &tally.noise);
+        for (name, value) in self.others.borrow().iter().flat_map(|others| (others.0)()) {
+            line(name, None, value);
         }
         text
     }
--- a/node/src/keeper.rs
+++ b/node/src/keeper.rs
@@ -1,15 +1,21 @@
-//! The one seam between the core and what keeps keys beyond its process: may this run begin, this run has ended. The
-//! core does not know what stands behind it; where nothing does, everything may begin and ends at once.
+//! The one seam between the core and what keeps keys beyond its process: may this run begin, this run has ended. Behind
+//! it stand the folder and the peers, either, both or neither; the core does not know which. Where nothing does, everything
+//! may begin and ends at once.
 
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use oakwind_fleet::claims::Said;
+use oakwind_fleet::record::Fate;
 use swiftwinch::RequestId;
 
 use crate::clock::Unix;
+use crate::exchange::Request;
 use crate::fate::{End, Kept, Key, KeyRecord};
 use crate::figures::Figures;
+use crate::peers::{Asked, Peers};
 use crate::remembered::record::{Record, State};
 use crate::remembered::{Remembrance, Told};
 
@@ -18,6 +24,8 @@
 pub struct Run {
     /// The try.
     pub id: RequestId,
+    /// Its request; none where another process of this node had it.
+    pub request: Option<Rc<Request>>,
     /// Its key.
     pub key: Key,
     /// The digest of its body.
@@ -29,41 +37,65 @@
 /// What the keeper has to say, when it was not known at once.
 #[derive(Debug)]
 pub enum Word {
-    /// Whether it is kept that this try's run begins; unless it is, it must not.
+    /// Whether this try's run begins; unless it does, it never did.
     Begin(RequestId, bool),
+    /// It must not begin, as another node may run its key; what becomes of that follows.
+    Elsewhere(RequestId),
+    /// What became of another node's run of its key; it must not begin.
+    Became(RequestId, Kept),
+    /// What became of another node's run of its key is not known in time, or its own result is held by too few.
+    Unknown(RequestId),
+    /// Its key is that of another body.
+    Mismatch(RequestId),
     /// How this try's run has ended, as it is kept.
     Ended(RequestId, End),
     /// What earlier processes left.
     Recalled(Vec<KeyRecord>),
 }
 
+/// What one of those behind the seam says of a question.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Answer {
+    /// It is not there, or was not asked.
+    Yes,
+    Open,
+    No,
+}
+
 /// What a try waits for.
 #[derive(Debug)]
-enum Waiting {
-    /// That it is kept that its run begins.
-    Begin,
-    /// That it is kept how its run ended.
-    End(End),
+struct Waiting {
+    /// How its run ended, if it is that.
+    end: Option<End>,
+    folder: Answer,
+    peers: Answer,
+    run: Run,
 }
 
 /// All that keeps keys beyond the process, if anything does.
 #[derive(Default)]
 pub struct Keeper {
     folder: Option<Remembrance>,
+    peers: Option<Peers>,
     /// What waits, by the try. As bounded as runs.
     waiting: HashMap<RequestId, Waiting>,
 }
 
 impl Keeper {
-    /// A keeper with a folder.
-    pub fn new(folder: Remembrance) -> Self {
-        Keeper { folder: Some(folder), waiting: HashMap::new() }
+    /// A keeper with a folder, peers, both or neither.
+    pub fn new(folder: Option<Remembrance>, peers: Option<Peers>) -> Self {
+        Keeper { folder, peers, waiting: HashMap::new() }
     }
 
     /// Has the figures show what is kept.
     pub fn counts(&self, figures: &Figures) {
         if let Some(folder) = &self.folder {
-            figures.remembers(folder.tally.clone());
+            let tally = folder.tally.clone();
+            figures.also(Box::new(move || tally.all()));
+        }
+        if let Some(peers) = &self.peers {
+            let shown = peers.shown.clone();
+            figures.also(Box::new(move || shown.all()));
         }
     }
 
@@ -77,11 +109,22 @@
         self.folder.as_ref().is_some_and(|folder| folder.doubts.doubts(key, now))
     }
 
-    /// Opens what another process of this node has, once that lets go of it; `recalls` if what is in it is news.
+    /// Takes over from another process of this node, once that lets go; `recalls` if what it left is news.
     pub fn take_over(&mut self, recalls: bool) {
         if let Some(folder) = &mut self.folder {
             folder.take_over(recalls);
         }
+        if let Some(peers) = &self.peers {
+            peers.resume();
+            peers.beside(!recalls);
+        }
+    }
+
+    /// The process before this one is gone.
+    pub fn alone(&self) {
+        if let Some(peers) = &self.peers {
+            peers.beside(false);
+        }
     }
 
     /// Leaves all to another process of this node. These runs may still begin here.
@@ -92,38 +135,73 @@
         if let Some(folder) = &mut self.folder {
             folder.recorder = None;
         }
+        if let Some(peers) = &self.peers {
+            peers.retire();
+        }
     }
 
     /// Whether a run may begin; none if that is told later. A try without a key may.
     pub fn may_begin(&mut self, run: Option<Run>) -> Option<bool> {
         let Some(run) = run else { return Some(true) };
-        let id = run.id;
-        match self.record(run, State::Begun, Bytes::new()) {
-            Some(true) => {
-                self.waiting.insert(id, Waiting::Begin);
-                None
+        let folder = self.asked_folder(&run, State::Begun, Bytes::new());
+        let peers = match (&self.peers, &run.request) {
+            (None, _) => Answer::Yes,
+            (Some(peers), Some(request)) if folder != Answer::No => {
+                let (id, key, until) = (run.id, run.key.clone(), run.until);
+                let (body, door, due) = (&request.body[..], request.door, request.due);
+                if peers.want(&Asked { id, key, body, until, door, due }) {
+                    Answer::Open
+                } else {
+                    Answer::No
+                }
             }
-            Some(false) => Some(false),
-            None => Some(true),
+            _ => Answer::No,
+        };
+        if folder == Answer::Open && peers == Answer::No {
+            self.record(run, State::Freed, Bytes::new());
+            return Some(false);
         }
+        self.waits(run, None, folder, peers).map(|_| folder != Answer::No && peers != Answer::No)
     }
 
     /// A run has ended; returns how, as it is kept, unless that is told later.
     pub fn ended(&mut self, run: Option<Run>, end: End) -> Option<End> {
         let Some(run) = run else { return Some(end) };
-        let id = run.id;
+        // It outlives the buffer that it was read into.
         let (state, result) = match &end {
-            // It outlives the buffer that it was read into.
             End::Done(result) => (State::Done, Bytes::copy_from_slice(result)),
             _ => (State::Failed, Bytes::new()),
         };
-        match self.record(run, state, result) {
-            Some(true) => {
-                self.waiting.insert(id, Waiting::End(end));
-                None
-            }
-            Some(false) => Some(End::Crashed),
-            None => Some(end),
+        let folder = self.asked_folder(&run, state, result.clone());
+        let peers = match &self.peers {
+            None => Answer::Yes,
+            Some(peers) => match &end {
+                End::Done(_) if peers.ended(run.id, Fate::Done(result)) => Answer::Open,
+                End::Done(_) => Answer::No,
+                _ => {
+                    // Nobody waits for that: a failure promises nothing.
+                    peers.ended(run.id, Fate::Failed);
+                    Answer::Yes
+                }
+            },
+        };
+        let ended = self.waits(run, Some(end), folder, peers)?;
+        Some(if folder == Answer::No || peers == Answer::No { End::Crashed } else { ended? })
+    }
+
+    /// Lets a try wait if anything is open; otherwise returns what it would have waited for.
+    fn waits(&mut self, run: Run, end: Option<End>, folder: Answer, peers: Answer) -> Option<Option<End>> {
+        if folder == Answer::Open || peers == Answer::Open {
+            self.waiting.insert(run.id, Waiting { end, folder, peers, run });
+            return None;
+        }
+        Some(end)
+    }
+
+    /// A run never began and never will.
+    pub fn never_ran(&mut self, id: RequestId) {
+        if let Some(peers) = &self.peers {
+            peers.never_ran(id);
         }
     }
 
@@ -132,25 +210,49 @@
         match kept {
             Kept::Done(result) => self.record(run, State::Done, result.clone()),
             Kept::Failed => self.record(run, State::Failed, Bytes::new()),
-            Kept::NeverRan => self.record(run, State::Freed, Bytes::new()),
+            Kept::NeverRan => {
+                self.never_ran(run.id);
+                self.record(run, State::Freed, Bytes::new())
+            }
         };
     }
 
+    fn asked_folder(&self, run: &Run, state: State, result: Bytes) -> Answer {
+        match self.record(run.clone(), state, result) {
+            Some(true) => Answer::Open,
+            Some(false) => Answer::No,
+            None => Answer::Yes,
+        }
+    }
+
     /// Hands a record to the folder: whether the disk takes it, or none where there is none, or another process has it.
     fn record(&self, run: Run, state: State, result: Bytes) -> Option<bool> {
         let recorder = self.folder.as_ref()?.recorder.as_ref()?;
-        let Run { id, key, body, until } = run;
+        let Run { id, key, body, until, .. } = run;
         Some(recorder.write(id, Record { number: 0, at: Duration::ZERO, until, body, state, key, result }))
     }
 
     /// The next that it has to say; never where nothing is kept.
     pub async fn told(&mut self) -> Word {
         loop {
-            let told = match &mut self.folder {
-                Some(folder) => folder.told().await,
-                None => std::future::pending().await,
+            let Keeper { folder, peers, .. } = self;
+            let of_folder = async {
+                match folder {
+                    Some(folder) => folder.told().await,
+                    None => std::future::pending().await,
+                }
             };
-            if let Some(word) = self.of_folder(told) {
+            let of_peers = async {
+                match peers {
+                    Some(peers) => peers.told().await,
+                    None => std::future::pending().await,
+                }
+            };
+            let word = tokio::select! {
+                told = of_folder => self.of_folder(told),
+                (id, said) = of_peers => self.of_peers(id, said),
+            };
+            if let Some(word) = word {
                 return word;
             }
         }
@@ -158,10 +260,11 @@
 
     fn of_folder(&mut self, told: Told) -> Option<Word> {
         match told {
-            Told::Written(id, kept) => match self.waiting.remove(&id)? {
-                Waiting::Begin => Some(Word::Begin(id, kept)),
-                Waiting::End(end) => Some(Word::Ended(id, if kept { end } else { End::Crashed })),
-            },
+            Told::Written(id, kept) => {
+                let waiting = self.waiting.get_mut(&id).filter(|waiting| waiting.folder == Answer::Open)?;
+                waiting.folder = if kept { Answer::Yes } else { Answer::No };
+                self.settled(id)
+            }
             Told::Opened(recovered) => {
                 let folder = self.folder.as_mut()?;
                 folder.doubts = recovered.doubts;
@@ -170,4 +273,75 @@
             }
         }
     }
+
+    fn of_peers(&mut self, id: RequestId, said: Said) -> Option<Word> {
+        let begins = |keeper: &Keeper| keeper.waiting.get(&id).is_some_and(|waiting| waiting.end.is_none());
+        match said {
+            Said::Granted | Said::Turned(_) if begins(self) => {
+                let waiting = self.waiting.get_mut(&id)?;
+                waiting.peers = if said == Said::Granted { Answer::Yes } else { Answer::No };
+                self.settled(id)
+            }
+            // That it waits for another node's run is known already.
+            Said::Turned(_) => Some(Word::Became(id, Kept::NeverRan)),
+            Said::Granted => None,
+            Said::Held(held) => {
+                let waiting = self.waiting.get_mut(&id).filter(|waiting| waiting.end.is_some())?;
+                waiting.peers = if held { Answer::Yes } else { Answer::No };
+                self.settled(id)
+            }
+            Said::Elsewhere => {
+                self.not_begun(id);
+                Some(Word::Elsewhere(id))
+            }
+            Said::Became(fate) => {
+                self.not_begun(id);
+                let kept = match fate {
+                    Fate::Done(result) => Kept::Done(result),
+                    Fate::Failed => Kept::Failed,
+                };
+                Some(Word::Became(id, kept))
+            }
+            Said::Unknown => {
+                self.not_begun(id);
+                Some(Word::Unknown(id))
+            }
+            Said::Mismatch => {
+                self.not_begun(id);
+                Some(Word::Mismatch(id))
+            }
+        }
+    }
+
+    /// A try that waited to begin does not: the folder is told that its key is free here.
+    fn not_begun(&mut self, id: RequestId) {
+        if let Some(waiting) = self.waiting.remove(&id) {
+            self.record(waiting.run, State::Freed, Bytes::new());
+        }
+    }
+
+    /// What a try hears once nothing is open any more, or one of them has said no.
+    fn settled(&mut self, id: RequestId) -> Option<Word> {
+        let waiting = self.waiting.get(&id)?;
+        let (folder, peers) = (waiting.folder, waiting.peers);
+        let refused = folder == Answer::No || peers == Answer::No;
+        if !refused && (folder == Answer::Open || peers == Answer::Open) {
+            return None;
+        }
+        let Waiting { end, run, .. } = self.waiting.remove(&id)?;
+        match end {
+            None => {
+                if refused && folder != Answer::No {
+                    self.record(run, State::Freed, Bytes::new());
+                }
+                if refused && peers != Answer::No {
+                    self.never_ran(id);
+                }
+                Some(Word::Begin(id, !refused))
+            }
+            Some(_) if peers == Answer::No => Some(Word::Unknown(id)),
+            Some(_) if folder == Answer::No => Some(Word::Ended(id, End::Crashed)),
+            Some(end) => Some(Word::Ended(id, end)),
+        }
+    }
 }
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -18,6 +18,7 @@
 mod membership;
 mod names;
 mod operators;
+mod peers;
 mod remembered;
 mod serve;
 mod uwsgi;
@@ -57,6 +58,9 @@
     /// a file that makes keys and results outlast the process, such as deploy/remembered.toml
     #[argh(option)]
     remembered: Option<PathBuf>,
+    /// a file that makes the node one of a fleet whose nodes talk, such as deploy/fleet.toml
+    #[argh(option)]
+    fleet: Option<PathBuf>,
 }
 
 /// Read the configuration and say whether it can be served.
@@ -72,6 +76,9 @@
     /// a file that makes keys and results outlast the process, such as deploy/remembered.toml
     #[argh(option)]
     remembered: Option<PathBuf>,
+    /// a file that makes the node one of a fleet whose nodes talk, such as deploy/fleet.toml
+    #[argh(option)]
+    fleet: Option<PathBuf>,
 }
 
 /// Print the version.
@@ -82,13 +89,16 @@
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     let done = match arguments.command {
-        Command::Serve(Serve { config, uwsgi, remembered }) => {
-            serve::serve(&Files { config, uwsgi, remembered })
+        Command::Serve(Serve { config, uwsgi, remembered, fleet }) => {
+            serve::serve(&Files { config, uwsgi, remembered, fleet })
+        }
+        Command::Check(Check { config, uwsgi, remembered, fleet }) => {
+            let files = Files { config, uwsgi, remembered, fleet };
+            let checked = files
+                .read()
+                .and_then(|told| told.fleet.map_or(Ok(()), |f| f.is_listed()).map(|()| told.config));
+            checked.map(|config| println!("{}: can be served", config.name)).map_err(|e| e.to_string())
         }
-        Command::Check(Check { config, uwsgi, remembered }) => Files { config, uwsgi, remembered }
-            .read()
-            .map(|(config, ..)| println!("{}: can be served", config.name))
-            .map_err(|e| e.to_string()),
         Command::Version(Version {}) => {
             println!("oakwind {}", env!("CARGO_PKG_VERSION"));
             Ok(())
--- /dev/null
+++ b/node/src/peers/frame.rs
@@ -0,0 +1,161 @@
+//! Frames as bytes: a word that begins every link, and before each frame its length and a check of it. What does not fit is
+//! nonsense and ends the link; a kind that this build does not know is skipped.
+
+use bytes::{Buf, BufMut, BytesMut};
+use oakwind_fleet::frame::{Frame, KINDS};
+
+use crate::fate::digest;
+
+/// What every link begins with, each way: the protocol and its version.
+pub const MAGIC: &[u8; 8] = b"OAKPEER1";
+/// The longest frame: a page, or the longest result with its key.
+const LONGEST: usize = 256 * 1024;
+/// Bytes before a frame.
+const HEAD: usize = 8;
+/// The check's key; another version has another.
+const CHECK: u64 = 1;
+
+/// What was taken off a link.
+#[derive(Debug, PartialEq)]
+pub enum Taken {
+    /// A frame.
+    Frame(Frame),
+    /// One of a later build.
+    Later,
+}
+
+fn check(bytes: &[u8]) -> u32 {
+    digest(CHECK, bytes) as u32
+}
+
+/// Appends a frame.
+pub fn put(output: &mut BytesMut, frame: &Frame) {
+    // Everything in a frame can be written.
+    let bytes = postcard::to_allocvec(frame).unwrap_or_default();
+    output.reserve(HEAD + bytes.len());
+    output.put_u32(u32::try_from(bytes.len()).unwrap_or(u32::MAX));
+    output.put_u32(check(&bytes));
+    output.put_slice(&bytes);
+}
+
+/// Takes the next whole frame off the buffer.
+///
+/// # Errors
+///
+/// What is wrong with it.
+pub fn take(buffer: &mut BytesMut) -> Result<Option<Taken>, &'static str> {
+    let Some(mut head) = buffer.get(..HEAD) else { return Ok(None) };
+    let (length, sum) = (head.get_u32() as usize, head.get_u32());
+    if length > LONGEST {
+        return Err("a frame that is too long");
+    }
+    if buffer.len() < HEAD + length {
+        buffer.reserve(HEAD + length - buffer.len());
+        return Ok(None);
+    }
+    let bytes = buffer.split_to(HEAD + length).freeze().slice(HEAD..);
+    if check(&bytes) != sum {
+        return Err("a frame whose check is wrong");
+    }
+    let Ok((kind, _)) = postcard::take_from_bytes::<u32>(&bytes) else {
+        return Err("a frame without a kind");
+    };
+    if kind >= KINDS {
+        return Ok(Some(Taken::Later));
+    }
+    // A later build may have put more behind it.
+    match postcard::take_from_bytes(&bytes) {
+        Ok((frame, _)) => Ok(Some(Taken::Frame(frame))),
+        Err(_) => Err("a frame that can't be read"),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use bytes::Bytes;
+    use oakwind_fleet::frame::{Blocker, Hello, Page, Sound, Why};
+    use oakwind_fleet::list::NodeId;
+    use oakwind_fleet::record::{ClaimId, End, Fate};
+
+    fn claim() -> ClaimId {
+        ClaimId { node: NodeId(1), life: 2, number: 3 }
+    }
+
+    fn frames() -> Vec<Frame> {
+        let fate = Fate::Done(Bytes::from_static(b"\0job"));
+        let end = End { door: 1, place: 0, claim: claim(), fate, body: u128::MAX };
+        let by = Blocker { claim: claim(), body: 1, ended: Some(end.clone()), past_ms: 0 };
+        vec![
+            Frame::Hello(Hello { name: "n1".into(), to: NodeId(2), life: 7, lists: vec![(1, 2)] }),
+            Frame::Blocked { claim: claim(), by },
+            Frame::Unsure { claim: claim(), why: Why::Returning },
+            Frame::Ended { key: "k".into(), keep_ms: 5, end },
+            Frame::Page(Page { round: 1, records: vec![], next: None, sound: Sound::Whole }),
+        ]
+    }
+
+    #[test]
+    fn frames_come_off_as_they_were_put_however_they_are_cut() {
+        let mut whole = BytesMut::new();
+        frames().iter().for_each(|frame| put(&mut whole, frame));
+        for cut in 0..whole.len() {
+            let mut buffer = BytesMut::from(&whole[..cut]);
+            let mut got = Vec::new();
+            while let Some(taken) = take(&mut buffer).unwrap() {
+                got.push(taken);
+            }
+            buffer.extend_from_slice(&whole[cut..]);
+            while let Some(taken) = take(&mut buffer).unwrap() {
+                got.push(taken);
+            }
+            assert_eq!(got, frames().into_iter().map(Taken::Frame).collect::<Vec<_>>());
+        }
+    }
+
+    #[test]
+    fn the_last_kind_that_is_known_is_the_last_there_is() {
+        let page = frames().pop().unwrap();
+        let bytes = postcard::to_allocvec(&page).unwrap();
+        assert_eq!(postcard::take_from_bytes::<u32>(&bytes).unwrap().0, KINDS - 1);
+    }
+
+    /// A frame of these bytes whose check is right.
+    fn framed(bytes: &[u8]) -> BytesMut {
+        let mut buffer = BytesMut::new();
+        buffer.put_u32(bytes.len() as u32);
+        buffer.put_u32(check(bytes));
+        buffer.put_slice(bytes);
+        buffer
+    }
+
+    #[test]
+    fn what_a_later_build_adds_is_skipped() {
+        let later = postcard::to_allocvec(&(KINDS + 3, "whatever")).unwrap();
+        assert_eq!(take(&mut framed(&later)), Ok(Some(Taken::Later)));
+        let mut longer = postcard::to_allocvec(&Frame::Free { claim: claim() }).unwrap();
+        longer.extend_from_slice(b"a new field");
+        assert_eq!(take(&mut framed(&longer)), Ok(Some(Taken::Frame(Frame::Free { claim: claim() }))));
+    }
+
+    #[test]
+    fn nonsense_is_told_and_never_panics() {
+        assert!(take(&mut BytesMut::from(&b"GET / HTTP/1.1\r\n"[..])).is_err());
+        assert!(take(&mut framed(b"")).is_err());
+        let mut whole = BytesMut::new();
+        put(&mut whole, &frames()[1]);
+        for at in 0..whole.len() {
+            for bit in 0..8 {
+                let mut hurt = whole.clone();
+                hurt[at] ^= 1 << bit;
+                let taken = take(&mut hurt);
+                assert!(!matches!(taken, Ok(Some(_))), "byte {at}, bit {bit}: {taken:?}");
+            }
+        }
+        for length in 0..64 {
+            // A frame cut short inside, with a check that is right.
+            let bytes = postcard::to_allocvec(&frames()[3]).unwrap();
+            let _ = take(&mut framed(&bytes[..length.min(bytes.len() - 1)]));
+        }
+    }
+}
--- /dev/null
+++ b/node/src/peers/mod.rs
@@ -0,0 +1,574 @@
+//! Talk among the nodes of a fleet: what the decisions of `oakwind-fleet` say goes out on links, what comes in goes to
+//! them, and what they tell a try goes to the keeper. No decision is made here.
+
+pub mod frame;
+pub mod links;
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use oakwind_fleet::claims::{Said, Token, Wanted};
+use oakwind_fleet::copies::{Change, Link};
+use oakwind_fleet::frame::{Copied, Frame};
+use oakwind_fleet::list::NodeId;
+use oakwind_fleet::node::{Action, Event, Figures, Fleet, Note, Settings, TICK};
+use oakwind_fleet::record::{ClaimId, Fate};
+use oakwind_fleet::{Time, READ_LATE};
+use sha2::{Digest, Sha256};
+use swiftwinch::RequestId;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::mpsc;
+
+use crate::clock::{self, Unix};
+use crate::config::Fleet as Config;
+use crate::log;
+use crate::remembered::record::{Record, State};
+use crate::remembered::{Remembrance, Told};
+use links::{Heard, Links};
+
+/// What may wait for the peers, and what they may have to tell; who finds no room is turned away.
+const WAITING: usize = 4096;
+/// Frames that may wait; who sends more waits.
+const INBOX: usize = 1024;
+/// Connections that the system may keep until they are accepted.
+const BACKLOG: u32 = 1024;
+/// Between two attempts to open a folder that another process still has, and how long they go on.
+const AGAIN: Duration = Duration::from_millis(10);
+const OWED: Duration = Duration::from_secs(2);
+/// Says in the folder that what is in it can be relied on.
+const SOUND: &str = "sound";
+
+/// This node's own clock: it does not go back when the system's does, nor stand still while the process does.
+#[derive(Debug, Clone, Copy)]
+struct Steady {
+    begun: Instant,
+}
+
+impl Steady {
+    fn now(&self) -> Time {
+        // An hour ahead, so that what was before the process has a time too.
+        Duration::from_secs(3600) + self.begun.elapsed()
+    }
+
+    /// A point on the Unix clock.
+    fn of(&self, at: Unix) -> Time {
+        let (now, unix) = (self.now(), clock::now());
+        if at >= unix {
+            now + (at - unix)
+        } else {
+            now.saturating_sub(unix - at)
+        }
+    }
+}
+
+/// A run as the peers are asked about it.
+pub struct Asked<'a> {
+    /// The try.
+    pub id: RequestId,
+    /// Its key.
+    pub key: Bytes,
+    /// Its body.
+    pub body: &'a [u8],
+    /// How long the key is remembered.
+    pub until: Unix,
+    /// When its request came.
+    pub door: Unix,
+    /// When its caller stops waiting.
+    pub due: Unix,
+}
+
+/// What operators see of it.
+#[derive(Debug, Default)]
+pub struct Shown {
+    figures: Cell<Figures>,
+    others: RefCell<Vec<(&'static str, u64)>>,
+}
+
+impl Shown {
+    /// All figures by name.
+    pub fn all(&self) -> Vec<(&'static str, u64)> {
+        let figures = self.figures.get();
+        let mut all = vec![
+            ("fleet_granted", figures.granted),
+            ("fleet_turned", figures.turned),
+            ("fleet_became", figures.became),
+            ("fleet_unknown", figures.unknown),
+            ("fleet_held", figures.held),
+            ("fleet_unheld", figures.unheld),
+            ("fleet_votes", figures.votes),
+            ("fleet_votes_refused", figures.votes_refused),
+            ("fleet_learnt", figures.learnt),
+            ("fleet_given", figures.given),
+            ("fleet_conflicts", figures.conflicts),
+            ("fleet_slept", figures.slept),
+        ];
+        all.extend(self.others.borrow().iter());
+        all
+    }
+}
+
+/// The keeper's part in it.
+pub struct Peers {
+    orders: mpsc::Sender<Event>,
+    told: mpsc::Receiver<(RequestId, Said)>,
+    clock: Steady,
+    /// What operators see.
+    pub shown: Rc<Shown>,
+}
+
+impl Peers {
+    /// Asks for a claim; false if there is no room to ask.
+    pub fn want(&self, asked: &Asked) -> bool {
+        let digest = Sha256::digest(asked.body);
+        let wanted = Wanted {
+            token: token(asked.id),
+            key: asked.key.clone(),
+            body: digest.iter().take(16).fold(0, |all, byte| all << 8 | u128::from(*byte)),
+            until: self.clock.of(asked.until),
+            door: (self.clock.of(asked.door), u64::try_from(asked.door.as_millis()).unwrap_or(u64::MAX)),
+            due: self.clock.of(asked.due),
+        };
+        self.order(Event::Want(wanted))
+    }
+
+    /// A run has ended; false if there is no room to tell.
+    pub fn ended(&self, id: RequestId, fate: Fate) -> bool {
+        self.order(Event::Ended(token(id), fate))
+    }
+
+    /// A run never began.
+    pub fn never_ran(&self, id: RequestId) -> bool {
+        self.order(Event::Release(token(id)))
+    }
+
+    /// Another process of this node takes over.
+    pub fn retire(&self) {
+        self.order(Event::Retire);
+    }
+
+    /// That one has gone.
+    pub fn resume(&self) {
+        self.order(Event::Resume(life()));
+    }
+
+    /// Whether a process before this one may still run what it began.
+    pub fn beside(&self, beside: bool) {
+        self.order(Event::Beside(beside));
+    }
+
+    fn order(&self, event: Event) -> bool {
+        let taken = self.orders.try_send(event).is_ok();
+        if !taken {
+            log!("fleet: no room for one more question to the peers");
+        }
+        taken
+    }
+
+    /// The way to tell it of another list.
+    pub fn lists(&self) -> mpsc::Sender<Event> {
+        self.orders.clone()
+    }
+
+    /// The next that they have to say.
+    pub async fn told(&mut self) -> (RequestId, Said) {
+        match self.told.recv().await {
+            Some(told) => told,
+            None => std::future::pending().await,
+        }
+    }
+}
+
+fn token(id: RequestId) -> Token {
+    Token(u64::from(id.0))
+}
+
+fn life() -> u64 {
+    u64::try_from(clock::now().as_micros()).unwrap_or(u64::MAX)
+}
+
+/// Opens what peers connect to.
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// The task that talks to peers.
+pub struct Driver {
+    config: Config,
+    clock: Steady,
+    seed: u64,
+    orders: mpsc::Receiver<Event>,
+    tell: mpsc::Sender<(RequestId, Said)>,
+    shown: Rc<Shown>,
+    /// Open before the task runs, unless a process before this one still has it.
+    listener: Option<TcpListener>,
+    folder: Option<Remembrance>,
+    kept: Option<Kept>,
+}
+
+/// A node's talk with its peers, to be run. `beside` if a process before this one still has the address and the folder.
+///
+/// # Errors
+///
+/// One line that names the key in the file.
+pub fn new(config: Config, seed: u64, beside: bool) -> Result<(Peers, Driver), String> {
+    let (orders, ordered) = mpsc::channel(WAITING);
+    let (tell, told) = mpsc::channel(WAITING);
+    let clock = Steady { begun: Instant::now() };
+    let shown = Rc::<Shown>::default();
+    let mut driver = Driver {
+        clock,
+        seed,
+        orders: ordered,
+        tell,
+        shown: shown.clone(),
+        listener: None,
+        folder: None,
+        kept: None,
+        config,
+    };
+    if !beside {
+        let address = driver.config.listen;
+        driver.listener = Some(listen(address).map_err(|e| format!("fleet file, listen: {address}: {e}"))?);
+        if let Some((folder, kept)) = open(&driver.config)? {
+            (driver.folder, driver.kept) = (Some(folder), kept);
+        }
+    }
+    Ok((Peers { orders, told, clock, shown }, driver))
+}
+
+/// What a node kept of its last life, with its votes.
+type Kept = Vec<(Option<ClaimId>, Copied)>;
+
+/// Opens the folder and takes in what the last process left, if that can be relied on. None where there is no folder.
+fn open(config: &Config) -> Result<Option<(Remembrance, Option<Kept>)>, String> {
+    let Some(remembered) = config.folder.clone() else { return Ok(None) };
+    let sound = remembered.folder.join(SOUND);
+    let mut folder = Remembrance::closed(remembered, config.list.window() + READ_LATE);
+    let recovered = folder.open().map_err(|e| format!("fleet file: {e}"))?;
+    let whole = recovered.damage == Default::default() && recovered.back.is_zero();
+    let now = clock::now();
+    let kept = recovered.keys.iter().map(|record| {
+        let crate::fate::Fate::Done(bytes) = &record.fate else { return None };
+        let (vote, copied) = postcard::from_bytes::<(Option<ClaimId>, Copied)>(bytes).ok()?;
+        let keep_ms = u64::try_from(record.until.saturating_sub(now).as_millis()).unwrap_or(u64::MAX);
+        Some((vote, Copied { keep_ms, ..copied }))
+    });
+    let kept: Option<Kept> = kept.collect();
+    let kept = kept.filter(|_| whole && sound.exists());
+    if kept.is_none() && sound.exists() {
+        log!("fleet: what is in the folder can't be relied on, and counts as lost");
+        // Otherwise the next start would rely on what this one does not.
+        let _ = std::fs::remove_file(sound);
+    }
+    Ok(Some((folder, kept)))
+}
+
+/// The same where another process of this node may have it for a moment more.
+async fn open_soon(config: &Config) -> Option<(Remembrance, Option<Kept>)> {
+    let by = clock::now() + OWED;
+    loop {
+        match open(config) {
+            Ok(opened) => return opened,
+            Err(e) if clock::now() >= by => {
+                log!("{e}");
+                return None;
+            }
+            Err(_) => clock::until(clock::now() + AGAIN).await,
+        }
+    }
+}
+
+impl Driver {
+    /// Talks for as long as the process. One that takes over begins when the process before lets go.
+    pub async fn run(mut self) {
+        let mut waits = self.listener.is_none();
+        while waits {
+            match self.orders.recv().await {
+                Some(Event::Resume(_)) => waits = false,
+                Some(Event::Want(wanted)) => {
+                    let said = Said::Turned(oakwind_fleet::frame::Why::Unheard);
+                    // The keeper ends only with the process.
+                    let _ = self.tell.send((request(wanted.token), said)).await;
+                }
+                Some(_) => {}
+                None => return,
+            }
+        }
+        if self.listener.is_none() {
+            if let Some((folder, kept)) = open_soon(&self.config).await {
+                (self.folder, self.kept) = (Some(folder), kept);
+            }
+        }
+        let Driver { config, clock, seed, mut orders, tell, shown, mut listener, mut folder, kept } = self;
+        let settings = Settings {
+            name: config.name.clone(),
+            life: life(),
+            seed,
+            bytes: config.bytes,
+            bytes_per_s: config.bytes_per_s,
+            probe: config.probe,
+            kept,
+            durable: folder.is_some(),
+        };
+        let (heard, mut inbox) = mpsc::channel(INBOX);
+        let place = config.folder.as_ref().map(|folder| folder.folder.clone());
+        let mut talk = Talk {
+            fleet: Fleet::new(settings, config.list.clone(), clock.now()),
+            links: Links::new(config.links / 2, heard),
+            clock,
+            tell,
+            place,
+            later: VecDeque::new(),
+            unsaid: VecDeque::new(),
+            listens: true,
+        };
+        if let Some(listener) = &listener {
+            log!("fleet: peers connect to {}", listener.local_addr().unwrap_or(config.listen));
+        }
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            if !talk.listens {
+                listener = None;
+            }
+            let event = tokio::select! {
+                biased;
+                _ = tick.tick() => {
+                    if talk.listens && listener.is_none() {
+                        // The process before this one may hold the address for a moment.
+                        listener = listen(config.listen).ok();
+                    }
+                    talk.show(&shown);
+                    Some(Event::Tick)
+                }
+                ordered = orders.recv() => match ordered {
+                    Some(event) => Some(event),
+                    None => return,
+                },
+                Some(heard) = inbox.recv() => talk.heard(heard),
+                told = written(&mut folder) => match told {
+                    Told::Written(number, kept) => Some(Event::Stored(u64::from(number.0), kept)),
+                    Told::Opened(_) => None,
+                },
+                accepted = accept(&listener) => {
+                    match accepted {
+                        Ok(stream) => talk.links.accept(stream),
+                        Err(e) => {
+                            log!("fleet: a link was not accepted: {e}");
+                            clock::until(clock::now() + Duration::from_millis(20)).await;
+                        }
+                    }
+                    None
+                }
+            };
+            match &event {
+                // The process that takes over has it next.
+                Some(Event::Retire) => folder = None,
+                Some(Event::Resume(_)) => folder = open_soon(&config).await.map(|(folder, _)| folder),
+                _ => {}
+            }
+            if let Some(event) = event {
+                talk.take(event, &folder);
+            }
+            for (id, said) in talk.unsaid.drain(..) {
+                // The keeper ends only with the process.
+                let _ = talk.tell.send((id, said)).await;
+            }
+        }
+    }
+}
+
+fn request(token: Token) -> RequestId {
+    RequestId(u32::try_from(token.0).unwrap_or(0))
+}
+
+async fn accept(listener: &Option<TcpListener>) -> io::Result<TcpStream> {
+    match listener {
+        Some(listener) => listener.accept().await.map(|(stream, _)| stream),
+        None => std::future::pending().await,
+    }
+}
+
+async fn written(folder: &mut Option<Remembrance>) -> Told {
+    match folder {
+        Some(folder) => folder.told().await,
+        None => std::future::pending().await,
+    }
+}
+
+/// The decisions and the links.
+struct Talk {
+    fleet: Fleet,
+    links: Links,
+    clock: Steady,
+    tell: mpsc::Sender<(RequestId, Said)>,
+    place: Option<PathBuf>,
+    /// What follows from what was done.
+    later: VecDeque<Event>,
+    /// What tries are to be told.
+    unsaid: VecDeque<(RequestId, Said)>,
+    /// Whether peers may connect here.
+    listens: bool,
+}
+
+impl Talk {
+    /// What a link has to tell, as the decisions take it.
+    fn heard(&mut self, heard: Heard) -> Option<Event> {
+        match heard {
+            Heard::Frame(link, frame) => {
+                if let Frame::Hello(hello) = &frame {
+                    self.greeted(link, hello)?;
+                }
+                let Some((from, life)) = self.links.peer(link) else {
+                    log!("fleet: a link has ended with nonsense: it did not greet");
+                    self.links.end(link);
+                    return None;
+                };
+                Some(Event::Heard { link, from, life, frame })
+            }
+            Heard::Gone(link) => match self.links.gone(link)? {
+                (node, true) => Some(Event::Broken(node)),
+                (node, false) => Some(Event::Unreached(node)),
+            },
+        }
+    }
+
+    /// The other end of a link says who it is; none if that can't be.
+    fn greeted(&mut self, link: Link, hello: &oakwind_fleet::frame::Hello) -> Option<()> {
+        let node = NodeId::of(&hello.name);
+        let newest = self.fleet.lists().newest().number();
+        let known = self.fleet.lists().everyone().contains(&node)
+            || hello.lists.last().is_some_and(|(number, _)| *number > newest);
+        let meant = hello.to == self.fleet.me() && node != self.fleet.me();
+        let dialled = self.links.dialled(link).is_none_or(|dialled| dialled == node);
+        if !known || !meant || !dialled {
+            log!("fleet: a link was closed: {:?} is not on the list, or means another node", hello.name);
+            self.links.end(link);
+            return None;
+        }
+        let first = self.links.peer(link).is_none();
+        self.links.greeted(link, node, hello.life);
+        if first && self.links.dialled(link).is_none() {
+            let hello = Frame::Hello(self.fleet.hello(node));
+            self.links.write(link, &hello);
+        }
+        Some(())
+    }
+
+    fn take(&mut self, event: Event, folder: &Option<Remembrance>) {
+        match &event {
+            Event::Retire => {
+                self.listens = false;
+                self.links.end_accepted();
+            }
+            Event::Resume(_) => self.listens = true,
+            _ => {}
+        }
+        self.later.push_back(event);
+        let mut actions = Vec::new();
+        while let Some(event) = self.later.pop_front() {
+            self.fleet.handle(self.clock.now(), event, &mut actions);
+            for action in actions.drain(..) {
+                self.act(action, folder);
+            }
+        }
+    }
+
+    fn act(&mut self, action: Action, folder: &Option<Remembrance>) {
+        match action {
+            Action::Send(to, frame) => {
+                let Talk { fleet, links, .. } = self;
+                let lists = fleet.lists();
+                let address =
+                    || lists.about().iter().rev().find_map(|list| list.member(to).map(|m| m.address));
+                let sent = links.send(to, address, || Frame::Hello(fleet.hello(to)), &frame);
+                if sent.is_err() {
+                    self.later.push_back(Event::Unreached(to));
+                }
+            }
+            Action::Answer(link, frame) => self.links.write(link, &frame),
+            Action::Tell(token, said) => self.unsaid.push_back((request(token), said)),
+            Action::Store(number, change, vote) => self.store(number, change, vote, folder),
+            Action::Greet => {
+                for (link, node) in self.links.all() {
+                    let hello = Frame::Hello(self.fleet.hello(node));
+                    self.links.write(link, &hello);
+                }
+                let everyone = self.fleet.lists().everyone();
+                self.links.keep(|node| everyone.contains(&node));
+            }
+            Action::Note(note) => {
+                if matches!(note, Note::Sound(_)) {
+                    self.place.iter().for_each(|place| mark_sound(place));
+                }
+                log!("fleet: {note}");
+            }
+        }
+    }
+
+    /// Has the folder keep what is known of a key; where it can't, what waits for that is told so.
+    fn store(&mut self, number: u64, change: Change, vote: Option<ClaimId>, folder: &Option<Remembrance>) {
+        let recorder = folder.as_ref().and_then(|folder| folder.recorder.as_ref());
+        let (state, result, keep) = match &change.now {
+            Some(copied) => {
+                // Everything in it can be written.
+                let bytes = postcard::to_allocvec(&(vote, copied)).unwrap_or_default();
+                (State::Done, Bytes::from(bytes), Duration::from_millis(copied.keep_ms))
+            }
+            None => (State::Freed, Bytes::new(), Duration::ZERO),
+        };
+        let until = clock::now() + keep;
+        let record = Record { number: 0, at: Duration::ZERO, until, body: 0, state, key: change.key, result };
+        // The number comes back as it went: so many are never under way.
+        let wrapped = RequestId((number & u64::from(u32::MAX)) as u32);
+        if !recorder.is_some_and(|recorder| recorder.write(wrapped, record)) {
+            self.later.push_back(Event::Stored(number, false));
+        }
+    }
+
+    fn show(&self, shown: &Shown) {
+        shown.figures.set(self.fleet.figures());
+        let (counts, traffic) = (self.fleet.counts(), &self.links.traffic);
+        let (keys, bytes) = self.fleet.copies().size();
+        let mut others = shown.others.borrow_mut();
+        others.clear();
+        others.extend([
+            ("fleet_list", self.fleet.lists().newest().number()),
+            ("fleet_lists", self.fleet.lists().about().len() as u64),
+            ("fleet_level", u64::from(self.fleet.is_level())),
+            ("fleet_sound", u64::from(self.fleet.is_sound())),
+            ("fleet_alive", counts.alive),
+            ("fleet_suspect", counts.suspect),
+            ("fleet_lost", counts.lost),
+            ("fleet_behind", self.fleet.behind() as u64),
+            ("fleet_open", self.fleet.open() as u64),
+            ("fleet_keys", keys as u64),
+            ("fleet_bytes", bytes as u64),
+            ("fleet_links", self.links.count() as u64),
+            ("fleet_links_cut", traffic.cut.get()),
+            ("fleet_nonsense", traffic.nonsense.get()),
+            ("fleet_later_frames", traffic.later.get()),
+            ("fleet_frames_in", traffic.frames_in.get()),
+            ("fleet_frames_out", traffic.frames_out.get()),
+            ("fleet_bytes_in", traffic.bytes_in.get()),
+            ("fleet_bytes_out", traffic.bytes_out.get()),
+        ]);
+    }
+}
+
+/// What is in the folder can be relied on from now on.
+fn mark_sound(place: &Path) {
+    let written = std::fs::File::create(place.join(SOUND)).and_then(|file| file.sync_all());
+    if let Err(e) = written {
+        log!("fleet: the folder does not say that it can be relied on: {e}");
+    }
+}
--- a/node/src/remembered/mod.rs
+++ b/node/src/remembered/mod.rs
@@ -51,6 +51,22 @@
     pub noise: AtomicU64,
 }
 
+impl Tally {
+    /// All of them by name.
+    pub fn all(&self) -> Vec<(&'static str, u64)> {
+        let figures = [
+            ("remembered_keys", &self.keys),
+            ("remembered_bytes", &self.bytes),
+            ("remembered_written", &self.written),
+            ("remembered_refused", &self.refused),
+            ("remembered_syncs", &self.syncs),
+            ("remembered_damaged", &self.damaged),
+            ("remembered_noise_bytes", &self.noise),
+        ];
+        figures.map(|(name, value)| (name, value.load(Ordering::Relaxed))).into()
+    }
+}
+
 /// What the thread tells of a record, or of the folder.
 #[derive(Debug)]
 pub enum Told {
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -8,16 +8,17 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
+use oakwind_fleet::node::Event;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::watch;
+use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, LocalSet};
 
 use crate::backends::call;
 use crate::backends::index::Index;
 use crate::backends::interpreter::Interpreter;
 use crate::backends::uwsgi::{self as client, Servers};
-use crate::config::{Config, Files, Links, Remembered, Uwsgi};
+use crate::config::{Config, Files, Fleet, Links, Told};
 use crate::core::Core;
 use crate::exchange::{self, Exchange};
 use crate::fronts::guests::{Guest, Guests};
@@ -27,7 +28,7 @@
 use crate::names::Names;
 use crate::operators::{self, Office};
 use crate::remembered::Remembrance;
-use crate::{clock, handover, log, membership, vrrp};
+use crate::{clock, handover, log, membership, peers, vrrp};
 
 /// Connections that the system may keep until they are accepted.
 const BACKLOG: u32 = 1024;
@@ -42,20 +43,17 @@
 
 /// Serves until the notice to leave, then drains.
 pub fn serve(files: &Files) -> Result<(), String> {
-    let (config, uwsgi, remembered) = files.read().map_err(|e| e.to_string())?;
+    let told = files.read().map_err(|e| e.to_string())?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|e| format!("no runtime: {e}"))?;
-    runtime.block_on(LocalSet::new().run_until(run(files, config, uwsgi, remembered)))
+    runtime.block_on(LocalSet::new().run_until(run(files, told)))
 }
 
-async fn run(
-    files: &Files,
-    config: Config,
-    uwsgi: Option<Uwsgi>,
-    remembered: Option<Remembered>,
-) -> Result<(), String> {
+async fn run(files: &Files, told: Told) -> Result<(), String> {
+    let Told { config, uwsgi, remembered, fleet } = told;
+    fleet.as_ref().map_or(Ok(()), Fleet::is_listed).map_err(|e| e.to_string())?;
     // Comes first: a signal that nobody hears yet would end the process.
     let (notice, hangup) = signals().map_err(|e| format!("no signals: {e}"))?;
     let place = handover::place(config.listen);
@@ -72,7 +70,8 @@
         let answer = move |stream, guest| operators::serve(stream, guest, office.clone());
         spawn_local(accept(listener, std::future::pending(), Guests::new(operators::ROOM), answer));
     }
-    let own = RESERVED + if config.ops.is_some() { operators::ROOM } else { 0 };
+    let linked = fleet.as_ref().map_or(0, |fleet| fleet.links);
+    let own = RESERVED + linked + if config.ops.is_some() { operators::ROOM } else { 0 };
     let Room { platform, second, backends: each } =
         Room::new(config.sockets.saturating_sub(own), uwsgi.is_some());
     let (platform, second) = (Guests::new(platform), Guests::new(second));
@@ -98,11 +97,22 @@
         spawn_local(call(servers, exchange.clone(), backends.calls, each));
     }
     let mut core = Core::new(core, config.settings.clone(), config.seed, config.memory / RESULTS);
+    let (mut folder, mut recovered) = (None, None);
     if let Some(remembered) = remembered {
-        let mut remembrance = Remembrance::closed(remembered, longest(&config));
+        let mut remembrance = Remembrance::closed(remembered, config.longest());
         // The process before has the folder until it has handed over.
-        let recovered = if upgrade { None } else { Some(remembrance.open()?) };
-        core.keep(Keeper::new(remembrance), recovered);
+        recovered = if upgrade { None } else { Some(remembrance.open()?) };
+        folder = Some(remembrance);
+    }
+    let (mut peers, mut lists) = (None, None);
+    if let Some(fleet) = fleet {
+        let (asked, driver) = peers::new(fleet, config.seed, upgrade)?;
+        lists = Some(asked.lists());
+        peers = Some(asked);
+        spawn_local(driver.run());
+    }
+    if folder.is_some() || peers.is_some() {
+        core.keep(Keeper::new(folder, peers), recovered);
     }
     spawn_local(core.run());
     let front = {
@@ -157,7 +167,7 @@
     };
     tokio::select! {
         () = draining => {}
-        () = reloads(files, hangup, &config, changed, &names, &exchange) => {}
+        () = reloads(files, hangup, &config, changed, &names, &exchange, lists) => {}
         () = share(&exchange, [&platform, &second]) => {}
         failed = serving => return failed.map(|never| match never {}),
     }
@@ -165,13 +175,6 @@
     Ok(())
 }
 
-/// The longest that any key is remembered, with some to spare.
-fn longest(config: &Config) -> Duration {
-    let classes = config.settings.settings.classes.iter();
-    let longest = classes.map(|class| class.window.max(class.deadline)).max().unwrap_or_default();
-    longest + Duration::from_secs(1)
-}
-
 /// How the descriptors are shared out, so that neither front can use up what the other and the backends need.
 struct Room {
     /// Connections of front ends.
@@ -215,6 +218,7 @@
     links: watch::Sender<Links>,
     names: &Names,
     exchange: &Exchange,
+    lists: Option<mpsc::Sender<Event>>,
 ) {
     let mut newest = None;
     let mut state = exchange.state();
@@ -232,22 +236,24 @@
             }
         };
         let before = newest.as_ref().unwrap_or(begun);
-        let taken = files.read().map_err(|e| e.to_string()).and_then(|(new, ..)| {
-            if let Some(key) = new.links.unlike(&before.links) {
-                return Err(format!(
-                    "{key}: what does this job, or that anything does, changes with a restart only"
-                ));
-            }
-            if let Some(key) = new.lacks(before) {
-                return Err(format!("{key}: missing, the configuration before had it"));
-            }
-            let settings = names.settings().followed_by(new.settings.clone()).map_err(|e| e.to_string())?;
-            Ok((new, settings))
-        });
+        let taken =
+            files.read().map_err(|e| e.to_string()).and_then(|Told { config: new, fleet, .. }| {
+                if let Some(key) = new.links.unlike(&before.links) {
+                    return Err(format!(
+                        "{key}: what does this job, or that anything does, changes with a restart only"
+                    ));
+                }
+                if let Some(key) = new.lacks(before) {
+                    return Err(format!("{key}: missing, the configuration before had it"));
+                }
+                let settings =
+                    names.settings().followed_by(new.settings.clone()).map_err(|e| e.to_string())?;
+                Ok((new, settings, fleet))
+            });
         if told {
             exchange.figures().reloaded(taken.is_ok());
         }
-        let (new, settings) = match taken {
+        let (new, settings, fleet) = match taken {
             Ok(taken) => taken,
             Err(e) => {
                 log!("not reloaded: {e}");
@@ -262,6 +268,12 @@
             names.follow(settings, clock::now());
         }
         newest = Some(new);
+        // Whether it is taken is decided where the lists are, by its number.
+        if let (Some(lists), Some(fleet)) = (&lists, fleet) {
+            if lists.try_send(Event::List(fleet.list)).is_err() {
+                log!("not reloaded: no room to tell of another list");
+            }
+        }
         if !told && !moved && !retuned {
             continue;
         }
