Play fleets whose nodes talk in the rig, with faults on each link between two of them

Need: replication is shown by processes with faults between them, not by the decisions alone.

Seen on the way: fresh nodes that all catch up from each other vouched for each other at once, 50 ms after a fleet of fresh nodes started; only donors that lacked nothing count now (copies.rs, with a unit test of three nodes that all lost their state). A list that a peer had told of was turned down when the operators' own file came, for its addresses.

--- a/fleet/src/copies.rs
+++ b/fleet/src/copies.rs
@@ -140,12 +140,25 @@
         }
     }
 
-    /// How far its votes can be relied on, as it tells others.
-    pub fn sound(&self) -> Sound {
-        match &self.soundness {
-            Soundness::Whole => Sound::Whole,
-            Soundness::Since(_, caught) => Sound::By(caught.keys().copied().collect()),
+    /// How far its votes can be relied on, as it tells others. Only donors that lacked nothing themselves count: guards
+    /// against nodes that all lost their state and vouch for each other.
+    pub fn sound(&self, lists: &Lists) -> Sound {
+        let Soundness::Since(_, caught) = &self.soundness else { return Sound::Whole };
+        let whole: Vec<NodeId> =
+            caught.iter().filter(|(_, sound)| **sound == Sound::Whole).map(|(donor, _)| *donor).collect();
+        if lists.everyone().iter().all(|node| *node == self.me || whole.contains(node)) {
+            return Sound::Whole;
+        }
+        Sound::By(whole)
+    }
+
+    /// Whether nothing that was lost matters any more, because every other node has told all that it knew.
+    pub fn has_caught_up(&mut self, lists: &Lists) -> bool {
+        let whole = self.sound(lists) == Sound::Whole;
+        if whole {
+            self.soundness = Soundness::Whole;
         }
+        whole
     }
 
     /// Whether its votes can be relied on for a key: it has its state, or a window has passed since it lost that, or of
@@ -380,7 +393,7 @@
         }
         let whole = bytes <= PAGE_BYTES && next.as_ref().is_none_or(|(looked, _)| looked + 1 < PAGE_LOOKS);
         let next = next.filter(|_| !whole).map(|(_, position)| position);
-        Page { round, records, next, sound: self.sound() }
+        Page { round, records, next, sound: self.sound(lists) }
     }
 
     /// Takes in what a donor knows; false if there was no room for all of it. Returns conflicts, if any.
@@ -551,6 +564,10 @@
         assert!(unsure(&copies.claim(at(1), 1, &asked(1, "k"), &lists)), "that one lacks something itself");
         copies.caught_up(id(3), Sound::By(vec![id(1), id(2)]));
         assert!(granted(&copies.claim(at(2), 1, &asked(1, "k"), &lists)));
+        assert!(!copies.has_caught_up(&lists), "for every key it lacks the word of the third");
+        assert_eq!(copies.sound(&lists), Sound::By(vec![id(2)]), "who lacked something vouches for nobody");
+        copies.caught_up(id(3), Sound::Whole);
+        assert!(copies.has_caught_up(&lists) && copies.sound(&lists) == Sound::Whole);
         let mut copies = self::copies(false);
         assert!(!copies.tick(at(17_999), &lists) && copies.tick(at(18_000), &lists));
         assert!(granted(&copies.claim(at(18_000), 1, &asked(1, "k"), &lists)));
--- a/fleet/src/lists.rs
+++ b/fleet/src/lists.rs
@@ -32,13 +32,22 @@
     over_at: Option<Time>,
     /// Lists up to this number are over.
     over: u64,
+    /// Those that a peer told of: their addresses are as that peer sees them.
+    learnt: BTreeSet<u64>,
     me: NodeId,
 }
 
 impl Lists {
     /// A node that knows of one list.
     pub fn new(me: NodeId, list: Arc<List>) -> Lists {
-        Lists { heard: BTreeMap::new(), over_at: None, over: 0, me, about: vec![list] }
+        Lists {
+            heard: BTreeMap::new(),
+            over_at: None,
+            over: 0,
+            learnt: BTreeSet::new(),
+            me,
+            about: vec![list],
+        }
     }
 
     /// The one that holds: the newest.
@@ -78,20 +87,21 @@
 
     /// A list of the operators'.
     pub fn offer(&mut self, list: Arc<List>) -> Offer {
-        let (number, newest) = (list.number(), self.newest());
-        if number == newest.number() {
-            return if list == *newest {
-                Offer::Same
-            } else {
-                Offer::TurnedDown(format!(
-                    "list.number: {number} is the number of the list that holds, and that one says something else"
-                ))
-            };
+        let (number, newest) = (list.number(), self.newest().number());
+        if number < newest {
+            return Offer::TurnedDown(format!("list.number: {number} is lower than {newest}, which holds"));
         }
-        if number < newest.number() {
+        if let Some(known) = self.about.last_mut().filter(|known| known.number() == number) {
+            if *known == list {
+                return Offer::Same;
+            }
+            // A peer was faster to tell of it; the addresses are as this node is to see them.
+            if known.digest() == list.digest() && self.learnt.remove(&number) {
+                *known = list;
+                return Offer::Taken;
+            }
             return Offer::TurnedDown(format!(
-                "list.number: {number} is lower than {}, which holds",
-                newest.number()
+                "list.number: {number} is the number of the list that holds, and that one says something else"
             ));
         }
         if self.about.len() >= MOST_ABOUT {
@@ -100,7 +110,7 @@
                 self.about[0].number()
             ));
         }
-        if let Err(reason) = list.may_follow(newest) {
+        if let Err(reason) = list.may_follow(self.newest()) {
             return Offer::TurnedDown(reason);
         }
         self.about.push(list);
@@ -112,6 +122,7 @@
         if !self.lacks(list.number()) || self.about.len() >= MOST_ABOUT {
             return false;
         }
+        self.learnt.insert(list.number());
         let place = self.about.partition_point(|known| known.number() < list.number());
         self.about.insert(place, list);
         self.over_at = None;
@@ -209,6 +220,12 @@
         assert!(lists.learn(Arc::new(list(2, &[1, 2, 3, 4], 1))));
         assert!(!lists.learn(Arc::new(list(2, &[1, 2, 3, 4], 1))));
         assert_eq!(lists.numbers(), [1, 2, 3]);
+        let mut seen_from_here = plain(3, &[1, 2, 3, 4, 5], 1);
+        seen_from_here.members[0].address.set_port(1);
+        let seen_from_here = Arc::new(List::new(seen_from_here).unwrap());
+        assert_eq!(lists.offer(seen_from_here.clone()), Offer::Taken, "the operators' addresses hold");
+        assert_eq!(lists.newest(), &seen_from_here);
+        assert!(matches!(lists.offer(Arc::new(list(3, &[1, 2, 3, 4, 5], 1))), Offer::TurnedDown(_)));
         assert!(lists.contradicted(2, 1) && !lists.contradicted(7, 1));
         assert_eq!(lists.offer(Arc::new(list(4, &[1, 2, 3, 4, 5], 1))), Offer::Taken);
         let more = lists.offer(Arc::new(list(5, &[1, 2, 3, 4, 5], 1)));
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -9,7 +9,7 @@
 use crate::catchup::{weight, Catchup, Donor};
 use crate::claims::{Claims, Do, Said, Token, Wanted};
 use crate::copies::{Change, Copies, Link, Outcome};
-use crate::frame::{Copied, Frame, Hello, Sound, Standing, Why};
+use crate::frame::{Copied, Frame, Hello, Standing, Why};
 use crate::list::{List, NodeId};
 use crate::lists::{Lists, Offer};
 use crate::members::{Counts, Members, Say};
@@ -702,7 +702,7 @@
             out.push(Action::Note(Note::NoRoom(from)));
         } else if let Some(sound) = last {
             self.copies.caught_up(from, sound);
-            if !self.sound && self.copies.sound() == Sound::By(self.others().into_iter().collect()) {
+            if !self.sound && self.copies.has_caught_up(&self.lists) {
                 self.is_sound_now(out);
             }
         }
@@ -917,6 +917,25 @@
         assert_eq!(place.told(), [(3, Said::Granted)], "with the first and itself");
     }
 
+    #[test]
+    fn nodes_that_all_lost_their_state_do_not_vouch_for_each_other() {
+        let mut place = Place::new(3, true);
+        place.want(1, 1, "k");
+        place.event(id(1), Event::Ended(Token(1), done("job")));
+        for n in 1..=3 {
+            let list = place.nodes[&id(n)].lists().newest().clone();
+            place.nodes.insert(id(n), Fleet::new(settings(n, 2, false), list, place.now));
+        }
+        place.wait(5_000);
+        place.told.clear();
+        assert!(place.nodes.values().all(|node| node.is_level() && !node.is_sound() && node.behind() == 0));
+        place.want(2, 2, "k");
+        assert_eq!(place.told(), [(2, Said::Turned(Why::Returning))]);
+        place.wait(13_000);
+        place.want(2, 3, "k");
+        assert_eq!(place.told(), [(3, Said::Granted)], "its window is over");
+    }
+
     #[test]
     fn one_that_slept_goes_by_nothing_until_it_has_heard_a_majority() {
         let mut place = Place::new(3, true);
--- /dev/null
+++ b/node/tests/sockets/fleet.rs
@@ -0,0 +1,253 @@
+//! Nodes that talk, one at a time or a few: what operators set, what the program says, and what a peer may send it.
+
+use crate::helper::*;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+/// A fleet of three on addresses of one test's own, with a window that is short.
+struct Fleet {
+    host: &'static str,
+    ports: Vec<u16>,
+    number: u64,
+}
+
+/// Classes whose keys are remembered for a second.
+fn quick(config: &str) -> String {
+    config
+        .replace("\"window\": 120000000", "\"window\": 1000000")
+        .replace("120000000", "2000000")
+        .replace("60000000", "1000000")
+}
+
+impl Fleet {
+    fn new(host: &'static str) -> Fleet {
+        // Nobody else has this host, so what is free there stays free.
+        let held = [(); 4].map(|()| std::net::TcpListener::bind((host, 0)).unwrap());
+        Fleet { host, ports: held.iter().map(|held| held.local_addr().unwrap().port()).collect(), number: 1 }
+    }
+
+    fn address(&self, n: usize) -> SocketAddr {
+        format!("{}:{}", self.host, self.ports[n - 1]).parse().unwrap()
+    }
+
+    fn list(&self, nodes: &[usize]) -> String {
+        let members = nodes.iter().map(|n| {
+            format!("[[list.member]]\nname = 'n{n}'\naddress = '{}'\nzone = 'z{n}'\n", self.address(*n))
+        });
+        let members: String = members.collect();
+        format!("[list]\nnumber = {}\nwindow_ms = 3000\n{members}", self.number)
+    }
+
+    fn file(&self, n: usize, nodes: &[usize], more: &str) -> String {
+        format!("name = 'n{n}'\nlisten = '{}'\nprobe_ms = 100\n{more}{}", self.address(n), self.list(nodes))
+    }
+
+    fn start(&self, n: usize, nodes: &[usize], more: &str) -> (Node, Peer) {
+        let vm = Server::new();
+        let links = format!(r#""ops": "127.0.0.1:0", "vm": "{}","#, vm.address);
+        let config = quick(&config(&links)).replace("\"n1\"", &format!("\"n{n}\""));
+        let mut node = Node::with_fleet(&config, &self.file(n, nodes, more), None);
+        node.serves();
+        let link = vm.interpreter("0");
+        (node, link)
+    }
+
+    /// All three, once bookings run.
+    fn all(&self) -> Vec<(Node, Peer)> {
+        let mut all: Vec<(Node, Peer)> = (1..=3).map(|n| self.start(n, &[1, 2, 3], "")).collect();
+        for (node, _) in &mut all {
+            node.logs("fleet: a majority is heard, bookings run");
+            node.logs("fleet: has what it needs to vote, 0 keys are known");
+        }
+        all
+    }
+}
+
+#[test]
+fn a_booking_runs_at_one_node_and_its_repeats_at_others_and_over_both_fronts_get_its_result() {
+    let fleet = Fleet::new("127.0.7.1");
+    let mut all = fleet.all();
+    let mut clients: Vec<Peer> = all.iter().map(|(node, _)| node.client()).collect();
+    clients[0].request(1, "a1", Some("k"), 1900);
+    assert_eq!(all[0].1.apply().0, "a1");
+    clients[1].request(1, "b1", Some("k"), 1900);
+    all[0].1.value(1, "a1", "done", "job 5");
+    let result = clients[0].line();
+    assert!(result.contains("\"result\""), "{result}");
+    assert_eq!(clients[1].line(), result, "it waited for that run");
+    clients[2].request(1, "c1", Some("k"), 1900);
+    assert_eq!(clients[2].line(), result);
+    clients[2].say(request(2, "c2", "book", Some("k"), 1900).replace("Ym9keQ==", "b3RoZXI="));
+    assert!(clients[2].line().contains("-32602"), "another body");
+    clients[1].request(2, "b2", None, 1900);
+    assert_eq!(all[1].1.apply().0, "b2", "what is safe to repeat asks nobody");
+    let stats = call(all[0].0.ops(), "GET /ops/stats");
+    for line in ["svc_fleet_granted 1\n", "svc_fleet_held 1\n", "svc_fleet_alive 2\n", "svc_fleet_level 1\n"]
+    {
+        assert!(stats.contains(line), "{stats}");
+    }
+}
+
+#[test]
+fn without_a_majority_bookings_are_turned_away_and_all_else_runs() {
+    let fleet = Fleet::new("127.0.7.2");
+    let mut all = fleet.all();
+    all.truncate(1);
+    let (mut node, mut vm) = all.remove(0);
+    let mut client = node.client();
+    client.request(1, "a1", Some("k"), 1900);
+    let refused = client.line();
+    assert!(refused.contains("-32011") && refused.contains("later"), "{refused}");
+    client.request(2, "a2", None, 1900);
+    assert_eq!(vm.apply().0, "a2");
+    shows(&mut node, &["svc_fleet_lost 2\n"]);
+}
+
+/// Waits until an operator sees all these lines.
+fn shows(node: &mut Node, lines: &[&str]) {
+    let ops = node.ops();
+    let guard = std::time::Instant::now() + GUARD;
+    loop {
+        let stats = call(ops, "GET /ops/stats");
+        if lines.iter().all(|line| stats.contains(line)) {
+            return;
+        }
+        assert!(std::time::Instant::now() < guard, "{stats}");
+    }
+}
+
+/// A peer of the test's own.
+fn peer(address: SocketAddr, bytes: &[u8]) -> TcpStream {
+    let mut peer = TcpStream::connect(address).unwrap();
+    peer.write_all(bytes).unwrap();
+    peer
+}
+
+/// Waits until the other side ends the link.
+fn ends(mut peer: TcpStream) {
+    let mut rest = Vec::new();
+    // It may be reset, as not all was read.
+    let _ = peer.read_to_end(&mut rest);
+}
+
+#[test]
+fn nonsense_ends_a_link_and_is_logged_and_the_fleet_goes_on() {
+    let fleet = Fleet::new("127.0.7.3");
+    let (mut node, _vm) = fleet.start(1, &[1], "");
+    let at = fleet.address(1);
+    for nonsense in [
+        &b"GET / HTTP/1.1\r\n\r\n"[..],
+        b"OAKPEER1\0\0\0\x04\0\0\0\0haha",
+        b"OAKPEER1\xff\xff\xff\xff\0\0\0\0",
+    ] {
+        ends(peer(at, nonsense));
+        node.logs("fleet: a link has ended with nonsense");
+    }
+    // Silence ends as well.
+    ends(peer(at, b"OAK"));
+    node.logs("fleet: has what it needs to vote, 0 keys are known");
+    let mut client = node.client();
+    client.request(1, "a1", Some("k"), 1900);
+    shows(&mut node, &["svc_fleet_nonsense 3\n"]);
+}
+
+#[test]
+fn a_list_is_taken_over_by_its_number_at_a_hang_up_and_others_are_turned_down() {
+    let mut fleet = Fleet::new("127.0.7.4");
+    let mut all = fleet.all();
+    fleet.number = 2;
+    let next = fleet.file(1, &[1, 2, 3, 4], "");
+    let node = &mut all[0].0;
+    node.reload_fleet(&next);
+    node.logs("fleet: list 2 is taken");
+    all[1].0.logs("fleet: a peer goes by list 2, which counts too");
+    let node = &mut all[0].0;
+    let old = Fleet { number: 1, ports: fleet.ports.clone(), ..fleet };
+    node.reload_fleet(&old.file(1, &[1, 2, 3], ""));
+    node.logs("fleet: list not taken: list.number: 1 is");
+    node.reload_fleet(&fleet.file(1, &[1, 2, 3], ""));
+    node.logs("fleet: list not taken: list.number: 2 is the number of the list that holds");
+    let third = Fleet { number: 3, ports: fleet.ports.clone(), ..fleet };
+    node.reload_fleet(&third.file(1, &[1, 2], ""));
+    node.logs("fleet: list not taken: list.members: without n3, n4 (2 in all)");
+    let mut client = all[2].0.client();
+    client.request(1, "c1", Some("k"), 1900);
+    assert_eq!(all[2].1.apply().0, "c1", "claims need both lists and get them");
+}
+
+#[test]
+fn a_wrong_fleet_file_ends_the_start_with_a_line_that_names_the_key() {
+    let fleet = Fleet::new("127.0.7.5");
+    let config = file("config.json", &quick(&config(r#""vm": "127.0.0.1:1","#)));
+    let check = |text: &str| {
+        let path = file("fleet.toml", text);
+        let arguments =
+            ["check-config", "--config", config.to_str().unwrap(), "--fleet", path.to_str().unwrap()];
+        let ended = output(&arguments);
+        assert!(!ended.status.success());
+        let said = String::from_utf8(ended.stderr).unwrap();
+        assert_eq!(said.lines().count(), 1, "{said}");
+        said
+    };
+    let good = fleet.file(1, &[1, 2, 3], "");
+    for (from, to, names) in [
+        ("name = 'n1'\nlisten", "name = 'n9'\nlisten", "name: \"n9\" is not on the list"),
+        ("probe_ms = 100", "probe_ms = 1", "probe_ms: "),
+        ("probe_ms = 100", "memory_mb = 0", "memory_mb: "),
+        ("probe_ms = 100", "links = 100000", "links: "),
+        ("probe_ms = 100", "links = 600", "half of limits.sockets (1024)"),
+        ("probe_ms = 100", "folder = 'here'", "folder: "),
+        ("window_ms = 3000", "window_ms = 2999", "list.window_ms: 3000 at least"),
+        ("zone = 'z1'", "zone = ''", "list.members[0]"),
+        ("zone = 'z1'", "zones = 'z1'", "zones"),
+    ] {
+        let said = check(&good.replace(from, to));
+        assert!(said.contains(names), "{said}");
+    }
+    let path = file("fleet.toml", &good);
+    let arguments = ["check-config", "--config", config.to_str().unwrap(), "--fleet", path.to_str().unwrap()];
+    assert!(output(&arguments).status.success());
+    let text = std::fs::read_to_string(concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/fleet.toml")).unwrap();
+    let path = file("fleet.toml", &text);
+    let arguments = ["check-config", "--config", config.to_str().unwrap(), "--fleet", path.to_str().unwrap()];
+    assert!(output(&arguments).status.success());
+}
+
+#[test]
+fn an_upgrade_in_place_goes_on_granting_and_its_first_process_ends_what_it_began() {
+    let fleet = Fleet::new("127.0.7.6");
+    let place = crate::upgrade::Place::new("127.0.7.7");
+    let start = || {
+        let vm = Server::new();
+        let config =
+            quick(&config(&format!(r#""vm": "{}","#, vm.address))).replace("127.0.0.1:0", &place.json);
+        let mut node = Node::with_fleet(&config, &fleet.file(1, &[1, 2, 3], ""), Some(&place.folder));
+        let link = vm.interpreter("0");
+        node.serves();
+        (node, link)
+    };
+    let (mut old, mut old_vm) = start();
+    let mut others: Vec<(Node, Peer)> = [2, 3].map(|n| fleet.start(n, &[1, 2, 3], "")).into();
+    for node in [&mut old].into_iter().chain(others.iter_mut().map(|(node, _)| node)) {
+        node.logs("fleet: has what it needs to vote");
+    }
+    let mut before = old.client();
+    before.request(1, "a1", Some("k"), 1900);
+    old_vm.apply();
+    let (mut new, mut new_vm) = start();
+    new.logs("handover: has taken over");
+    new.logs("fleet: a majority is heard, bookings run");
+    old_vm.value(1, "a1", "done", "first");
+    assert_eq!(before.any_line(), DRAINING);
+    let result = before.line();
+    assert!(result.contains("\"result\""), "its result is held by a majority: {result}");
+    let mut client = others[0].0.client();
+    client.request(1, "b1", Some("k"), 1900);
+    assert_eq!(client.line(), result);
+    let mut client = new.client();
+    client.request(1, "c1", Some("l"), 1900);
+    assert_eq!(new_vm.apply().0, "c1");
+    old.terminate();
+    old.ends();
+    others[1].0.status();
+}
--- a/node/tests/sockets/helper.rs
+++ b/node/tests/sockets/helper.rs
@@ -13,7 +13,7 @@
 pub use oakwind_rig::wire::DRAINING;
 use oakwind_rig::wire::{self, STATUS};
 
-const GUARD: Duration = Duration::from_secs(60);
+pub const GUARD: Duration = Duration::from_secs(60);
 
 /// Nobody listens there, and no test that asks for any port gets this one.
 pub const DOWN: &str = "127.0.0.1:1";
@@ -90,6 +90,21 @@
         uwsgi: Option<&str>,
         folder: Option<&Path>,
         remembered: Option<&str>,
+    ) -> Node {
+        let remembered = remembered.map(|text| ("--remembered", file("remembered.toml", text)));
+        Node::spawn_by(config, uwsgi, folder, remembered)
+    }
+
+    /// The same with the text of a fleet file.
+    pub fn with_fleet(config: &str, fleet: &str, folder: Option<&Path>) -> Node {
+        Node::spawn_by(config, None, folder, Some(("--fleet", file("fleet.toml", fleet))))
+    }
+
+    fn spawn_by(
+        config: &str,
+        uwsgi: Option<&str>,
+        folder: Option<&Path>,
+        more: Option<(&str, PathBuf)>,
     ) -> Node {
         let path = file("config.json", config);
         let mut command = oakwind(&["serve", "--config", path.to_str().unwrap()]);
@@ -98,8 +113,9 @@
             files.push(file("uwsgi.toml", text));
             command.arg("--uwsgi").arg(&files[1]);
         }
-        if let Some(text) = remembered {
-            command.arg("--remembered").arg(file("remembered.toml", text));
+        if let Some((option, path)) = more {
+            command.arg(option).arg(&path);
+            files.push(path);
         }
         if let Some(folder) = folder {
             command.env("TMPDIR", folder);
@@ -186,6 +202,12 @@
         self.program.signal(Signal::HUP).unwrap();
     }
 
+    /// The same with its fleet file.
+    pub fn reload_fleet(&self, text: &str) {
+        std::fs::write(self.files.last().unwrap(), text).unwrap();
+        self.program.signal(Signal::HUP).unwrap();
+    }
+
     /// Waits for its end, which must be a clean one.
     pub fn ends(mut self) {
         self.logs("has drained");
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -1,6 +1,7 @@
 //! Starts the real program as a process and speaks to it as clients, servers and peers do.
 
 mod cli;
+mod fleet;
 mod helper;
 mod jsonrpc;
 mod links;
--- a/rig/src/floor.rs
+++ b/rig/src/floor.rs
@@ -57,7 +57,13 @@
             What::Kill | What::Leave => (from + down, 0.0, true),
             What::Stop | What::Partition => (from + lasts, 0.0, false),
             What::Slow => (from + lasts, fault.factor, false),
-            What::Link | What::Below | What::Members | What::Fronts | What::Reload => continue,
+            What::Link
+            | What::Below
+            | What::Members
+            | What::Fronts
+            | What::Reload
+            | What::Unlist
+            | What::Enlist => continue,
         };
         dents.extend(strike.whom.iter().map(|node| Dent { node: *node, from, until, factor, cold }));
     }
--- a/rig/src/machine.rs
+++ b/rig/src/machine.rs
@@ -35,6 +35,8 @@
 const AFTER_FALL: Ms = 2000.0;
 /// What a program logs of its role in the virtual router.
 const ROLE: &str = "vrrp ";
+/// What a program logs when its votes can be relied on.
+const SOUND: &str = "fleet: has what it needs to vote";
 /// Where JSON-RPC is served, as the program logs it.
 const SERVED_AT: &str = "JSON-RPC is served at ";
 
@@ -106,8 +108,16 @@
     pub clients: Vec<Line>,
     /// Its lines with other nodes: which one, to it, and from it.
     pub peers: RefCell<Vec<(usize, Line, Line)>>,
+    /// Its links with other nodes: which one, the one that it dials, and the one that the other dials.
+    pub links: RefCell<Vec<(usize, Line, Line)>>,
     /// The file that makes it one of the virtual router.
     pub router: RefCell<Option<String>>,
+    /// Where it meets its peers, if nodes talk.
+    pub place: RefCell<Option<settings::Place>>,
+    /// The number of the list that it is told next, and the nodes on it.
+    pub list: RefCell<(u64, Vec<usize>)>,
+    /// Whether its votes can be relied on, as far as it has said.
+    pub sound: Cell<bool>,
     /// Where it serves; none while it is down.
     pub address: watch::Sender<Option<SocketAddr>>,
     programs: Programs,
@@ -138,6 +148,7 @@
         let name = format!("n{}", node + 1);
         let folder = folder.join(&name);
         std::fs::create_dir_all(folder.join("remembered"))?;
+        std::fs::create_dir_all(folder.join("votes"))?;
         let build = world.scenario.fleet.programs.iter().find(|(_, nodes)| nodes.contains(&name));
         let build = build.map(|(build, _)| build.clone());
         let interpreter = Interpreter::new(world.clone(), node, world.scenario.fleet.cold);
@@ -150,7 +161,11 @@
             members,
             clients,
             peers: RefCell::default(),
+            links: RefCell::default(),
             router: RefCell::default(),
+            place: RefCell::default(),
+            list: RefCell::default(),
+            sound: Cell::new(false),
             address: watch::channel(None).0,
             programs: programs.clone(),
             build: RefCell::new(build),
@@ -243,6 +258,9 @@
             std::fs::write(&file, router)?;
             command.arg("--uwsgi").arg(&file);
         }
+        if self.place.borrow().is_some() {
+            command.arg("--fleet").arg(self.write_list()?);
+        }
         command.env_remove("TMPDIR").env_remove("BALANCER_CONFIG");
         let (say, mut log) = mpsc::channel::<String>(LOGGED);
         // Once the play is over nobody reads any more.
@@ -259,6 +277,9 @@
                     // A log that can't be kept is not worth the play.
                     let _ = writeln!(file, "{line}");
                 }
+                if line.contains(SOUND) {
+                    machine.sound.set(true);
+                }
                 if line.contains(ROLE) {
                     let active = line.ends_with(": Active");
                     machine.world.note(Event::Role { node: machine.node, active });
@@ -278,6 +299,27 @@
         Ok(())
     }
 
+    /// Writes the file of the fleet, with the list of now.
+    fn write_list(&self) -> io::Result<PathBuf> {
+        let file = self.folder.join("fleet.toml");
+        let (number, listed) = self.list.borrow().clone();
+        if let Some(place) = &*self.place.borrow() {
+            let votes = self.folder.join("votes");
+            let text = settings::fleet(&self.world.scenario, self.node, place, &votes, number, &listed);
+            std::fs::write(&file, text)?;
+        }
+        Ok(file)
+    }
+
+    /// Tells it of a list, which it reads at once if it runs.
+    pub fn takes_list(&self, number: u64, listed: &[usize]) {
+        *self.list.borrow_mut() = (number, listed.to_vec());
+        // What can't be written is not taken.
+        if self.write_list().is_ok() {
+            self.reload();
+        }
+    }
+
     /// Its program has ended.
     fn over(self: &Rc<Self>) {
         let status = self.program.borrow_mut().take().and_then(|mut program| program.wait().ok());
@@ -310,15 +352,17 @@
         if let Some(build) = &back.program {
             *self.build.borrow_mut() = Some(build.clone());
         }
-        let (folder, copy) = (self.folder.join("remembered"), self.folder.join("copy"));
-        match back.folder {
-            Folder::Keep => {}
-            Folder::Lost => empty(&folder)?,
-            Folder::Old => {
-                empty(&folder)?;
-                copy_files(&copy, &folder)?;
+        for name in ["remembered", "votes"] {
+            let (folder, copy) = (self.folder.join(name), self.folder.join(format!("{name}-copy")));
+            match back.folder {
+                Folder::Keep => {}
+                Folder::Lost => empty(&folder)?,
+                Folder::Old => {
+                    empty(&folder)?;
+                    copy_files(&copy, &folder)?;
+                }
+                Folder::Cut => cut_newest(&folder, back.draw)?,
             }
-            Folder::Cut => cut_newest(&folder, back.draw)?,
         }
         if back.folder != Folder::Keep || !self.world.scenario.fleet.folder {
             self.world.note(Event::Wiped { node: self.node });
@@ -329,11 +373,11 @@
 
     /// Keeps a copy of its folder, for a restart with an old one.
     pub fn keep_copy(&self) {
-        if self.world.scenario.fleet.folder {
-            let copy = self.folder.join("copy");
+        for name in ["remembered", "votes"] {
+            let copy = self.folder.join(format!("{name}-copy"));
             // What can't be copied is missed when it is put back.
             let _ = std::fs::create_dir_all(&copy);
-            let _ = copy_files(&self.folder.join("remembered"), &copy);
+            let _ = copy_files(&self.folder.join(name), &copy);
         }
     }
 
--- a/rig/src/plan.rs
+++ b/rig/src/plan.rs
@@ -198,8 +198,15 @@
     let mut rng = generator(seed, Stream::Faults, 0);
     let names = scenario.node_names();
     let mut all = Vec::new();
-    for fault in &scenario.faults {
-        let at = match (&fault.when, fault.at_s) {
+    let again = |fault: &Fault| {
+        let (first, every) = (fault.at_s.unwrap_or(0.0), fault.again_s.unwrap_or(f64::INFINITY));
+        let times = ((scenario.seconds - first) / every).floor().max(0.0) as usize;
+        (0..=times).map(move |n| first + if n == 0 { 0.0 } else { n as f64 * every }).collect::<Vec<f64>>()
+    };
+    for (fault, time) in
+        scenario.faults.iter().flat_map(|fault| again(fault).into_iter().map(move |t| (fault, t)))
+    {
+        let at = match (&fault.when, fault.at_s.map(|_| time)) {
             (Some(when), _) => {
                 let node = names.iter().position(|name| *name == when.node).unwrap_or(0);
                 At::Event(node, when.event, when.count)
@@ -225,13 +232,14 @@
             whom.sort_unstable();
         }
         let each = whom.len().div_ceil(fault.waves).max(1);
+        let first = fault.when.as_ref().map_or(0.0, |when| when.after_ms);
         let waves: Vec<Vec<usize>> = if whom.is_empty() {
             vec![Vec::new()]
         } else {
             whom.chunks(each).map(<[usize]>::to_vec).collect()
         };
         for (wave, whom) in waves.into_iter().enumerate() {
-            let after = wave as f64 * fault.every_s * 1000.0;
+            let after = first + wave as f64 * fault.every_s * 1000.0;
             all.push(Strike { at: at.clone(), after, fault: fault.clone(), whom, draw: rng.random() });
         }
     }
@@ -272,6 +280,15 @@
         assert!((repeats as f64 / books.len() as f64 - 0.45).abs() < 0.08, "some come after the end");
     }
 
+    #[test]
+    fn a_fault_that_strikes_again_strikes_others() {
+        let strikes =
+            plan(&scenario("[[fault]]\nat_s = 1\nagain_s = 4\nwhat = 'kill'\npart = 0.3\n"), 1).strikes;
+        let times: Vec<At> = strikes.iter().map(|strike| strike.at.clone()).collect();
+        assert_eq!(times, [1000.0, 5000.0, 9000.0, 13_000.0, 17_000.0].map(At::Time));
+        assert!(strikes.iter().any(|strike| strike.whom != strikes[0].whom));
+    }
+
     #[test]
     fn waves_strike_everyone_once_and_zones_whole() {
         let scenario =
--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -8,7 +8,8 @@
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
-use tokio::net::UdpSocket;
+use tokio::io::{copy_bidirectional, DuplexStream};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::mpsc;
 use tokio::task::{spawn_local, LocalSet};
@@ -38,6 +39,8 @@
 const LATE: Ms = 25.0;
 /// Lines between nodes have numbers from here on, for their random numbers.
 const PEERS: usize = 1 << 16;
+/// One node hears of a list so much later than the one before it.
+const TOLD_EVERY: Ms = 100.0;
 /// Datagrams that wait to be handed on.
 const WAITING: usize = 64;
 /// Pieces of progress: a line every so often.
@@ -102,6 +105,9 @@
     if let Some(vrrp) = &scenario.fleet.vrrp {
         stage.router(vrrp.interval_ms).await?;
     }
+    if scenario.fleet.peers.as_ref().is_some_and(|peers| peers.on) {
+        stage.links().await?;
+    }
     for machine in &stage.machines {
         machine.begin().await?;
     }
@@ -188,7 +194,9 @@
 
 /// Waits until every node serves and every front end sees it on its list.
 async fn ready(stage: &Stage) -> io::Result<()> {
-    let (world, by) = (&stage.world, stage.world.now() + READY);
+    let window = stage.world.scenario.classes.iter().map(|class| class.window_ms).max().unwrap_or(0) as f64;
+    let replicated = stage.world.scenario.fleet.peers.is_some();
+    let (world, by) = (&stage.world, stage.world.now() + READY + if replicated { window } else { 0.0 });
     let latest = world.plan.fronts.iter().map(|front| front.late).fold(0.0, f64::max);
     loop {
         let now = world.now();
@@ -196,6 +204,8 @@
         let mut up = true;
         for (machine, listed) in stage.machines.iter().zip(&listed) {
             up = up && *listed && machine.healthy().await;
+            // Bookings run once those that hold copies can vote.
+            up = up && (machine.place.borrow().is_none() || machine.sound.get());
         }
         if up {
             return Ok(());
@@ -203,7 +213,7 @@
         if now > by {
             return Err(io::Error::new(
                 io::ErrorKind::TimedOut,
-                "not every node serves within 30 s of its start",
+                "not every node serves in time after its start",
             ));
         }
         world.clock.until(now + 50.0).await;
@@ -303,6 +313,81 @@
         Ok(())
     }
 
+    /// Links every two nodes, each by a line that it dials.
+    async fn links(&self) -> io::Result<()> {
+        let count = self.machines.len();
+        let mut listens = Vec::new();
+        for node in 0..count {
+            // Its own address, so that the port that is free there stays free.
+            let own = Ipv4Addr::new(
+                127,
+                (200 + std::process::id() % 50) as u8,
+                (self.world.number % 250) as u8,
+                node as u8 + 1,
+            );
+            listens.push(TcpListener::bind((own, 0)).await?.local_addr()?);
+        }
+        let mut lines = HashMap::new();
+        let mut reaches = vec![listens.clone(); count];
+        let pairs = (0..count).flat_map(|from| (0..count).map(move |to| (from, to)));
+        for (from, to) in pairs.filter(|(from, to)| from != to) {
+            let number = (PEERS + from * count + to) as u64;
+            let line = Line::new(self.world.clock, generator(self.world.seed, Stream::Links, number));
+            let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+            reaches[from][to] = listener.local_addr()?;
+            let (put, mut ends) = mpsc::channel::<DuplexStream>(WAITING);
+            spawn_local(line.clone().accept(listener, put));
+            let address = listens[to];
+            spawn_local(async move {
+                while let Some(mut end) = ends.recv().await {
+                    spawn_local(async move {
+                        // Where nobody is there, the end is dropped, and with it the link.
+                        let Ok(mut stream) = TcpStream::connect(address).await else { return };
+                        let _ = stream.set_nodelay(true);
+                        // A link may end at any time.
+                        let _ = copy_bidirectional(&mut end, &mut stream).await;
+                    });
+                }
+            });
+            lines.insert((from, to), line);
+        }
+        let later = self.world.scenario.fleet.peers.as_ref().map_or(0, |peers| peers.later);
+        let listed: Vec<usize> = (0..count - later).collect();
+        for (node, machine) in self.machines.iter().enumerate() {
+            let (listen, reaches) = (listens[node], reaches[node].clone());
+            *machine.place.borrow_mut() = Some(settings::Place { listen, reaches });
+            // One that comes later knows the list that it is on.
+            let own: Vec<usize> = if node < count - later { listed.clone() } else { (0..count).collect() };
+            *machine.list.borrow_mut() = (if node < count - later { 1 } else { 2 }, own);
+            let others = (0..count).filter(|other| *other != node);
+            *machine.links.borrow_mut() = others
+                .map(|other| (other, lines[&(node, other)].clone(), lines[&(other, node)].clone()))
+                .collect();
+        }
+        Ok(())
+    }
+
+    /// Tells everyone of the next list, one after the other.
+    fn relist(self: &Rc<Self>, change: impl Fn(&mut Vec<usize>)) {
+        let newest = self.machines.iter().map(|machine| machine.list.borrow().clone());
+        let Some((number, mut listed)) = newest.min_by_key(|(number, _)| std::cmp::Reverse(*number)) else {
+            return;
+        };
+        let before = listed.clone();
+        change(&mut listed);
+        listed.sort_unstable();
+        listed.dedup();
+        // Those that come are on it already.
+        let number = if listed == before { number } else { number + 1 };
+        for (after, machine) in self.machines.iter().cloned().enumerate() {
+            let (clock, listed) = (self.world.clock, listed.clone());
+            spawn_local(async move {
+                clock.until(clock.now() + after as f64 * TOLD_EVERY).await;
+                machine.takes_list(number, &listed);
+            });
+        }
+    }
+
     /// Does what a fault does, and sees to its end.
     fn strike(self: &Rc<Self>, strike: &Strike) {
         let (world, fault) = (&self.world, &strike.fault);
@@ -314,6 +399,14 @@
         match fault.what {
             What::Kill => struck().for_each(|machine| machine.kill(down, fault, strike.draw)),
             What::Leave => struck().for_each(|machine| machine.leave(down, fault, strike.draw)),
+            What::Unlist => {
+                let whom = strike.whom.clone();
+                self.relist(move |listed| listed.retain(|node| !whom.contains(node)));
+            }
+            What::Enlist => {
+                let whom = strike.whom.clone();
+                self.relist(move |listed| listed.extend(&whom));
+            }
             What::Reload => struck().for_each(|machine| machine.reload()),
             What::Stop => {
                 struck().for_each(|machine| machine.stand_still(true, fault.program_only));
@@ -401,9 +494,25 @@
                             peers.extend(
                                 ways.into_iter()
                                     .filter(|(_, suffers)| *suffers)
-                                    .map(|(line, _)| line.clone()),
+                                    .map(|(line, _)| (line.clone(), Way::Both)),
                             );
                         }
+                        let names = self.world.scenario.node_names();
+                        for (other, dialled, dials) in &*machine.links.borrow() {
+                            let with = &strike.fault.with;
+                            let together =
+                                strike.fault.what == What::Partition && strike.whom.contains(other);
+                            if together || !(with.is_empty() || with.contains(&names[*other])) {
+                                continue;
+                            }
+                            // A line is named after the node that dials it.
+                            let other_way = match way {
+                                Way::Both => Way::Both,
+                                Way::To => Way::From,
+                                Way::From => Way::To,
+                            };
+                            peers.extend([(dialled.clone(), way), (dials.clone(), other_way)]);
+                        }
                     }
                 }
             }
@@ -415,8 +524,7 @@
         };
         told(true, &self.world, &lines);
         lines.iter().for_each(|(line, _)| line.disturb(number, way, traffic));
-        // A line between nodes has one way.
-        peers.iter().for_each(|line| line.disturb(number, Way::Both, traffic));
+        peers.iter().for_each(|(line, way)| line.disturb(number, *way, traffic));
         if !peers.is_empty() {
             self.world.note(Event::Peers { on: true });
         }
@@ -424,7 +532,7 @@
         spawn_local(async move {
             world.clock.until(until).await;
             lines.iter().for_each(|(line, _)| line.mend(number));
-            peers.iter().for_each(|line| line.mend(number));
+            peers.iter().for_each(|(line, _)| line.mend(number));
             told(false, &world, &lines);
             if !peers.is_empty() {
                 world.note(Event::Peers { on: false });
--- a/rig/src/scenario.rs
+++ b/rig/src/scenario.rs
@@ -105,6 +105,8 @@
     pub folder: bool,
     /// Whether the nodes are one virtual router (VRRP), which talk among themselves.
     pub vrrp: Option<Vrrp>,
+    /// Whether the nodes talk among themselves so that a booking runs once in the fleet.
+    pub peers: Option<Replication>,
     /// Nodes that run another build: the name given to `--program NAME=PATH`, and the nodes.
     #[serde(default)]
     pub programs: BTreeMap<String, Vec<String>>,
@@ -118,6 +120,28 @@
     pub interval_ms: u64,
 }
 
+/// How nodes share what became of bookings.
+#[derive(Debug, Clone, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Replication {
+    /// Off, to see what the same faults do without it.
+    pub on: bool,
+    /// Copies of each key.
+    pub copies: usize,
+    /// Between two probes.
+    pub probe_ms: u64,
+    /// Whether what a node has granted is in a folder that outlasts it.
+    pub folder: bool,
+    /// Nodes at the end that are on no list yet when the scenario begins.
+    pub later: usize,
+}
+
+impl Default for Replication {
+    fn default() -> Self {
+        Replication { on: true, copies: 3, probe_ms: 250, folder: false, later: 0 }
+    }
+}
+
 /// A class of requests.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -330,6 +354,8 @@
 pub struct Fault {
     /// When; in its place `when` may stand.
     pub at_s: Option<f64>,
+    /// It strikes again each time so long after, with those struck drawn anew.
+    pub again_s: Option<f64>,
     /// An event that it waits for.
     pub when: Option<When>,
     /// How long it lasts, where it lasts.
@@ -363,6 +389,9 @@
     /// For `link`: whose traffic with the node.
     #[serde(default)]
     pub between: Vec<Link>,
+    /// For `link`: of its traffic with other nodes, only that with these.
+    #[serde(default)]
+    pub with: Vec<String>,
     /// For `link`: which way.
     #[serde(default)]
     pub way: Way,
@@ -383,6 +412,9 @@
     pub event: Happening,
     /// How many times.
     pub count: u64,
+    /// So long after that.
+    #[serde(default)]
+    pub after_ms: f64,
 }
 
 /// What a fault can wait for.
@@ -423,6 +455,11 @@
     Fronts,
     /// The program gets SIGHUP.
     Reload,
+    /// A list with the next number: of the nodes of the one before without those struck. Everyone is told, one after the
+    /// other.
+    Unlist,
+    /// A list with the next number: of the nodes of the one before and those struck. Everyone is told, one after the other.
+    Enlist,
 }
 
 /// What a restarted node finds in its folder.
@@ -632,6 +669,11 @@
         must(fleet.sockets >= 32, "fleet.sockets", "32 at least");
         let vrrp = fleet.vrrp.as_ref();
         must(vrrp.is_none_or(|vrrp| vrrp.interval_ms >= 10), "fleet.vrrp.interval_ms", "10 or more");
+        if let Some(peers) = &fleet.peers {
+            must((1..=9).contains(&peers.copies), "fleet.peers.copies", "1 to 9");
+            must(peers.probe_ms >= 50, "fleet.peers.probe_ms", "50 or more");
+            must(peers.later < fleet.nodes, "fleet.peers.later", "fewer than there are nodes");
+        }
         let names = self.node_names();
         for (program, nodes) in &fleet.programs {
             for node in nodes {
@@ -707,6 +749,11 @@
 
     fn fault_mistakes(&self, fault: &Fault, names: &[String], mut must: impl FnMut(bool, &str, &str)) {
         must(fault.at_s.is_some() != fault.when.is_some(), "at_s", "either at_s or when");
+        must(
+            fault.again_s.is_none_or(|again| again >= 1.0 && fault.at_s.is_some()),
+            "again_s",
+            "1 or more, with at_s",
+        );
         must(
             fault.at_s.is_none_or(|at| at >= 0.0 && at < self.seconds),
             "at_s",
@@ -745,7 +792,12 @@
             "traffic",
             "says what happens to it",
         );
-        must(fault.folder == Folder::Keep || self.fleet.folder, "folder", "fleet.folder is not on");
+        let kept = self.fleet.folder || self.fleet.peers.as_ref().is_some_and(|peers| peers.folder);
+        must(
+            fault.folder == Folder::Keep || kept,
+            "folder",
+            "neither fleet.folder nor fleet.peers.folder is on",
+        );
         let shares = [fault.traffic.loss, fault.traffic.duplicate, fault.traffic.reorder];
         must(shares.iter().all(|share| (0.0..=1.0).contains(share)), "traffic", "parts are 0 to 1");
     }
--- a/rig/src/settings.rs
+++ b/rig/src/settings.rs
@@ -98,3 +98,47 @@
 pub fn remembered(folder: &Path) -> String {
     format!("folder = '{}'\nfile_mb = {FOLDER_MB}\n", folder.display())
 }
+
+/// Where peers of a node connect, and where it reaches each node of a list, itself among them.
+#[derive(Debug, Clone)]
+pub struct Place {
+    /// Where its peers connect.
+    pub listen: SocketAddr,
+    /// Where it reaches each node.
+    pub reaches: Vec<SocketAddr>,
+}
+
+/// The file that makes a node one of a fleet whose nodes talk; `listed` are the nodes of the list by position.
+pub fn fleet(
+    scenario: &Scenario,
+    position: usize,
+    place: &Place,
+    folder: &Path,
+    number: u64,
+    listed: &[usize],
+) -> String {
+    let Some(peers) = &scenario.fleet.peers else { return String::new() };
+    let longest =
+        scenario.classes.iter().map(|class| class.window_ms.max(class.deadline_ms)).max().unwrap_or(0);
+    let names = scenario.node_names();
+    let mut text = format!(
+        "name = '{}'\nlisten = '{}'\nmemory_mb = {FOLDER_MB}\nlinks = {}\nprobe_ms = {}\n",
+        names[position],
+        place.listen,
+        (2 * names.len()).max(4),
+        peers.probe_ms
+    );
+    if peers.folder {
+        text += &format!("folder = '{}'\nfile_mb = {FOLDER_MB}\n", folder.display());
+    }
+    text +=
+        &format!("[list]\nnumber = {number}\ncopies = {}\nwindow_ms = {}\n", peers.copies, longest + 1000);
+    for other in listed {
+        let zone = &scenario.fleet.zones[scenario.zone_of(*other)];
+        text += &format!(
+            "[[list.member]]\nname = '{}'\naddress = '{}'\nzone = '{zone}'\n",
+            names[*other], place.reaches[*other]
+        );
+    }
+    text
+}
