--- a/node/src/peers/links.rs
+++ b/node/src/peers/links.rs
@@ -165,11 +165,14 @@
         true
     }
 
-    /// Takes a link that a peer has dialled; it is closed where there are too many.
+    /// Takes a link that a peer has dialled; where there are too many, the one that was not used for longest goes.
     pub fn accept(&mut self, stream: TcpStream) {
-        let accepted = self.known.values().filter(|known| known.dialled.is_none()).count();
-        if accepted >= self.most {
-            return log!("fleet: a link was closed at once: {accepted} are open");
+        let accepted =
+            || self.known.iter().filter(|(_, known)| known.dialled.is_none() && !known.pipe.over.get());
+        if accepted().count() >= self.most {
+            if let Some(link) = accepted().min_by_key(|(_, known)| known.used).map(|(link, _)| *link) {
+                self.end(link);
+            }
         }
         self.start(None, Some(stream));
     }
@@ -256,12 +259,17 @@
 
     /// The other end has greeted.
     pub fn greeted(&mut self, link: Link, node: NodeId, life: u64) {
-        if let Some(known) = self.known.get_mut(&link) {
-            known.peer = Some((node, life));
-            if known.dialled == Some(node) {
-                self.trouble.remove(&node);
-            }
+        let Some(known) = self.known.get_mut(&link) else { return };
+        (known.peer, known.used) = (Some((node, life)), clock::now());
+        if known.dialled.is_some() {
+            self.trouble.remove(&node);
+            return;
         }
+        // A peer that dials anew has given up the link that it had, whatever has become of that.
+        let same = |known: &Known| known.dialled.is_none() && known.peer == Some((node, life));
+        let before = self.known.iter().filter(|(other, known)| **other != link && same(known));
+        let before: Vec<Link> = before.map(|(other, _)| *other).collect();
+        before.into_iter().for_each(|other| self.end(other));
     }
 
     /// Links whose other ends have greeted, or were dialled, with who they are.
--- a/node/tests/sockets/fleet.rs
+++ b/node/tests/sockets/fleet.rs
@@ -1,6 +1,11 @@
 //! Nodes that talk, one at a time or a few: what operators set, what the program says, and what a peer may send it.
 
 use crate::helper::*;
+use oakwind_fleet::frame::{Asked, Frame, Hello, KINDS};
+use oakwind_fleet::list::NodeId;
+use oakwind_fleet::record::ClaimId;
+use siphasher::sip::SipHasher13;
+use std::hash::Hasher;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
@@ -81,11 +86,8 @@
     assert!(clients[2].line().contains("-32602"), "another body");
     clients[1].request(2, "b2", None, 1900);
     assert_eq!(all[1].1.apply().0, "b2", "what is safe to repeat asks nobody");
-    let stats = call(all[0].0.ops(), "GET /ops/stats");
-    for line in ["svc_fleet_granted 1\n", "svc_fleet_held 1\n", "svc_fleet_alive 2\n", "svc_fleet_level 1\n"]
-    {
-        assert!(stats.contains(line), "{stats}");
-    }
+    let lines = ["svc_fleet_granted 1\n", "svc_fleet_held 1\n", "svc_fleet_alive 2\n", "svc_fleet_level 1\n"];
+    shows(&mut all[0].0, &lines);
 }
 
 #[test]
@@ -151,6 +153,50 @@
     shows(&mut node, &["svc_fleet_nonsense 3\n"]);
 }
 
+/// A frame as it goes over a link, with more behind it than this build knows.
+fn framed(mut bytes: Vec<u8>, more: &[u8]) -> Vec<u8> {
+    bytes.extend_from_slice(more);
+    let mut hasher = SipHasher13::new_with_keys(1, 0);
+    hasher.write(&bytes);
+    let (length, check) = (bytes.len() as u32, hasher.finish() as u32);
+    [&length.to_be_bytes()[..], &check.to_be_bytes(), &bytes].concat()
+}
+
+/// The next frame from the program.
+fn next_frame(peer: &mut TcpStream) -> Frame {
+    let mut head = [0; 8];
+    peer.read_exact(&mut head).unwrap();
+    let mut bytes = vec![0; u32::from_be_bytes([head[0], head[1], head[2], head[3]]) as usize];
+    peer.read_exact(&mut bytes).unwrap();
+    postcard::from_bytes(&bytes).unwrap()
+}
+
+#[test]
+fn a_peer_of_a_later_build_is_granted_its_claims_and_what_is_new_in_it_is_skipped() {
+    let fleet = Fleet::new("127.0.7.8");
+    let (mut node, _vm) = fleet.start(1, &[1], "");
+    node.logs("fleet: has what it needs to vote, 0 keys are known");
+    let (me, to) = (NodeId::of("n2"), NodeId::of("n1"));
+    let bytes = |frame: &Frame| postcard::to_allocvec(frame).unwrap();
+    let hello = Frame::Hello(Hello { name: "n2".into(), to, life: 5, lists: vec![(2, 0)] });
+    let claim = ClaimId { node: me, life: 5, number: 1 };
+    let asked = Asked { claim, key: "k".into(), body: 1, keep_ms: 3000, lists: vec![1, 2] };
+    let later = postcard::to_allocvec(&(KINDS + 1, "of a later build")).unwrap();
+    let all = [
+        b"OAKPEER1".to_vec(),
+        framed(bytes(&hello), b"a new field"),
+        framed(later, b""),
+        framed(bytes(&Frame::Claim(asked)), b"another"),
+    ];
+    let mut peer = peer(fleet.address(1), &all.concat());
+    peer.set_read_timeout(Some(GUARD)).unwrap();
+    let mut magic = [0; 8];
+    peer.read_exact(&mut magic).unwrap();
+    assert!(matches!(next_frame(&mut peer), Frame::Hello(hello) if hello.name == "n1"));
+    assert_eq!(next_frame(&mut peer), Frame::Granted { claim, lives: vec![] });
+    shows(&mut node, &["svc_fleet_later_frames 1\n", "svc_fleet_nonsense 0\n"]);
+}
+
 #[test]
 fn a_list_is_taken_over_by_its_number_at_a_hang_up_and_others_are_turned_down() {
     let mut fleet = Fleet::new("127.0.7.4");
