Tell that a list is over, and let a peer learn what was lost with a cut link

One node had not heard two others greet with the new number, so it went by the old list for ever and turned down claims that others no longer made under it (lists.rs, tick; copies.rs, claim).

Change: that a list is over stays true, so it rides on each greeting and is believed; who greets with a list that is over is greeted back. A peer that was too slow loses its link with what waited on it; the next link says so, and the peer learns from the table. With peers results stay for as long as their keys in the node's own table too.

The socket test of a fleet asks over uwsgi as well.

--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -21,6 +21,10 @@
     pub life: u64,
     /// The numbers and digests of the lists that are about there, the newest last.
     pub lists: Vec<(u64, u64)>,
+    /// Lists up to this number are over, as this node knows.
+    pub over: u64,
+    /// The link before this one was cut, and what was on it is lost.
+    pub cut: bool,
 }
 
 /// A claim as a copy is asked for it.
--- a/fleet/src/lists.rs
+++ b/fleet/src/lists.rs
@@ -80,6 +80,25 @@
         self.about.iter().any(|list| list.number() == number && list.digest() != digest)
     }
 
+    /// Lists up to this number are over.
+    pub fn over(&self) -> u64 {
+        self.over
+    }
+
+    /// Another node knows that lists up to this number are over, which once true stays true. Returns whether that was
+    /// news.
+    pub fn are_over(&mut self, over: u64) -> bool {
+        let before = self.about.len();
+        let newest = self.newest().number();
+        self.about.retain(|list| list.number() > over || list.number() == newest);
+        let news = self.about.len() != before;
+        if news {
+            self.over_at = None;
+        }
+        self.over = self.over.max(over.min(newest - 1));
+        news
+    }
+
     /// Whether a list of this number is unknown and still of use.
     pub fn lacks(&self, number: u64) -> bool {
         number > self.over && !self.about.iter().any(|list| list.number() == number)
@@ -210,6 +229,13 @@
         assert_eq!(lists.tick(at(218)), Some(1));
         assert_eq!(lists.numbers(), [2]);
         assert!(!lists.lacks(1), "it does not come back");
+        let mut other = self::lists();
+        other.offer(Arc::new(list(2, &[1, 2, 3, 5], 1)));
+        assert!(
+            other.are_over(lists.over()) && !other.are_over(lists.over()),
+            "once over, it is over for all"
+        );
+        assert_eq!((other.numbers(), other.lacks(1)), (vec![2], false));
         assert_eq!(lists.tick(at(500)), None, "one holds");
     }
 
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -278,7 +278,8 @@
 
     /// Who this node is, as it greets another.
     pub fn hello(&self, to: NodeId) -> Hello {
-        Hello { name: self.name.clone(), to, life: self.life, lists: self.lists.signed() }
+        let (lists, over) = (self.lists.signed(), self.lists.over());
+        Hello { name: self.name.clone(), to, life: self.life, lists, over, cut: false }
     }
 
     /// This node.
@@ -442,7 +443,7 @@
 
     fn heard(&mut self, now: Time, link: Link, from: NodeId, life: u64, frame: Frame, out: &mut Vec<Action>) {
         if let Frame::Hello(hello) = frame {
-            return self.greeted(link, from, hello, out);
+            return self.greeted(now, link, from, hello, out);
         }
         if from != self.me {
             self.copies.lives(from, life);
@@ -523,7 +524,7 @@
         }
     }
 
-    fn greeted(&mut self, link: Link, from: NodeId, hello: Hello, out: &mut Vec<Action>) {
+    fn greeted(&mut self, now: Time, link: Link, from: NodeId, hello: Hello, out: &mut Vec<Action>) {
         let known = self.copies.life_of(from);
         if hello.life < known {
             self.answer(link, Frame::Superseded { life: known }, out);
@@ -539,9 +540,22 @@
             return;
         }
         self.contradicts.remove(&from);
+        if hello.cut {
+            // What it could not say is in its table.
+            self.catchup.also(from);
+        }
         if let Some((newest, _)) = hello.lists.last() {
             self.lists.heard(from, *newest);
         }
+        if self.lists.are_over(hello.over) {
+            out.push(Action::Note(Note::Over(hello.over)));
+            self.relisted(now, out);
+        }
+        if hello.lists.len() > 1 && hello.lists.iter().any(|(number, _)| *number <= self.lists.over()) {
+            // It goes by one that is over, and would turn down claims that don't.
+            let hello = Frame::Hello(self.hello(from));
+            self.send(from, hello, out);
+        }
         for (number, _) in hello.lists {
             if self.lists.lacks(number) {
                 self.send(from, Frame::AskList { number }, out);
@@ -936,6 +950,22 @@
         assert_eq!(place.told(), [(3, Said::Granted)], "its window is over");
     }
 
+    #[test]
+    fn what_was_lost_with_a_link_is_learnt_from_the_table() {
+        let mut place = Place::new(3, true);
+        place.want(1, 1, "k");
+        place.event(id(1), Event::Ended(Token(1), done("job")));
+        let list = place.nodes[&id(2)].lists().newest().clone();
+        place.nodes.insert(id(2), Fleet::new(settings(2, 2, true), list, place.now));
+        place.wait(500);
+        let before = place.nodes[&id(2)].figures().learnt;
+        let hello = Hello { cut: true, ..place.nodes[&id(1)].hello(id(2)) };
+        let frame = Frame::Hello(hello);
+        place.event(id(2), Event::Heard { link: id(1).0, from: id(1), life: 1, frame });
+        place.wait(100);
+        assert_eq!(place.nodes[&id(2)].figures().learnt, before + 1);
+    }
+
     #[test]
     fn one_that_slept_goes_by_nothing_until_it_has_heard_a_majority() {
         let mut place = Place::new(3, true);
@@ -955,7 +985,9 @@
     #[test]
     fn a_second_process_with_the_name_shuts_the_first_one_out() {
         let mut place = Place::new(3, true);
-        let from = |life| Frame::Hello(Hello { name: "n1".into(), to: id(2), life, lists: vec![] });
+        let from = |life| {
+            Frame::Hello(Hello { name: "n1".into(), to: id(2), life, lists: vec![], over: 0, cut: false })
+        };
         place.event(id(2), Event::Heard { link: 99, from: id(1), life: 2, frame: from(2) });
         place.event(id(2), Event::Heard { link: id(1).0, from: id(1), life: 1, frame: from(1) });
         assert!(place.notes.contains(&(id(1), Note::Superseded(2))));
--- a/node/src/keeper.rs
+++ b/node/src/keeper.rs
@@ -101,7 +101,7 @@
 
     /// Whether results stay for as long as their keys.
     pub fn lasts(&self) -> bool {
-        self.folder.is_some()
+        self.folder.is_some() || self.peers.is_some()
     }
 
     /// Whether a key that is not known may have run, as far as damage tells.
@@ -120,9 +120,10 @@
         }
     }
 
-    /// The process before this one is gone.
+    /// The process before this one is gone, whether or not it let go of anything.
     pub fn alone(&self) {
         if let Some(peers) = &self.peers {
+            peers.resume();
             peers.beside(false);
         }
     }
--- a/node/src/peers/frame.rs
+++ b/node/src/peers/frame.rs
@@ -87,7 +87,14 @@
         let end = End { door: 1, place: 0, claim: claim(), fate, body: u128::MAX };
         let by = Blocker { claim: claim(), body: 1, ended: Some(end.clone()), past_ms: 0 };
         vec![
-            Frame::Hello(Hello { name: "n1".into(), to: NodeId(2), life: 7, lists: vec![(1, 2)] }),
+            Frame::Hello(Hello {
+                name: "n1".into(),
+                to: NodeId(2),
+                life: 7,
+                lists: vec![(1, 2)],
+                over: 0,
+                cut: false,
+            }),
             Frame::Blocked { claim: claim(), by },
             Frame::Unsure { claim: claim(), why: Why::Returning },
             Frame::Ended { key: "k".into(), keep_ms: 5, end },
--- a/node/src/peers/mod.rs
+++ b/node/src/peers/mod.rs
@@ -152,7 +152,7 @@
         self.order(Event::Retire);
     }
 
-    /// That one has gone.
+    /// This process begins, or goes on, as the other one has let go or is gone.
     pub fn resume(&self) {
         self.order(Event::Resume(life()));
     }
@@ -373,7 +373,9 @@
             match &event {
                 // The process that takes over has it next.
                 Some(Event::Retire) => folder = None,
-                Some(Event::Resume(_)) => folder = open_soon(&config).await.map(|(folder, _)| folder),
+                Some(Event::Resume(_)) if folder.is_none() => {
+                    folder = open_soon(&config).await.map(|(folder, _)| folder);
+                }
                 _ => {}
             }
             if let Some(event) = event {
--- a/node/tests/sockets/fleet.rs
+++ b/node/tests/sockets/fleet.rs
@@ -82,6 +82,10 @@
     assert_eq!(clients[1].line(), result, "it waited for that run");
     clients[2].request(1, "c1", Some("k"), 1900);
     assert_eq!(clients[2].line(), result);
+    let mut old = Peer::connect(all[2].0.uwsgi());
+    old.say(packet(&[("PATH_INFO", "/book"), ("HTTP_IDEMPOTENCY_KEY", "k")], "body"));
+    let answer = old.rest();
+    assert!(answer.ends_with("job 5"), "{answer}");
     clients[2].say(request(2, "c2", "book", Some("k"), 1900).replace("Ym9keQ==", "b3RoZXI="));
     assert!(clients[2].line().contains("-32602"), "another body");
     clients[1].request(2, "b2", None, 1900);
@@ -178,7 +182,8 @@
     node.logs("fleet: has what it needs to vote, 0 keys are known");
     let (me, to) = (NodeId::of("n2"), NodeId::of("n1"));
     let bytes = |frame: &Frame| postcard::to_allocvec(frame).unwrap();
-    let hello = Frame::Hello(Hello { name: "n2".into(), to, life: 5, lists: vec![(2, 0)] });
+    let hello =
+        Frame::Hello(Hello { name: "n2".into(), to, life: 5, lists: vec![(2, 0)], over: 0, cut: false });
     let claim = ClaimId { node: me, life: 5, number: 1 };
     let asked = Asked { claim, key: "k".into(), body: 1, keep_ms: 3000, lists: vec![1, 2] };
     let later = postcard::to_allocvec(&(KINDS + 1, "of a later build")).unwrap();
--- a/node/tests/sockets/helper.rs
+++ b/node/tests/sockets/helper.rs
@@ -95,9 +95,9 @@
         Node::spawn_by(config, uwsgi, folder, remembered)
     }
 
-    /// The same with the text of a fleet file.
+    /// The same with both fronts and the text of a fleet file.
     pub fn with_fleet(config: &str, fleet: &str, folder: Option<&Path>) -> Node {
-        Node::spawn_by(config, None, folder, Some(("--fleet", file("fleet.toml", fleet))))
+        Node::spawn_by(config, Some(UWSGI), folder, Some(("--fleet", file("fleet.toml", fleet))))
     }
 
     fn spawn_by(
