--- a/fleet/src/claims.rs
+++ b/fleet/src/claims.rs
@@ -183,7 +183,7 @@
             again_at: now + AGAIN,
         };
         claim.goes_by(lists);
-        claim.ask(now, out);
+        claim.ask(now, |_| false, out);
         self.by_token.insert(token, claim.id);
         self.claims.insert(claim.id, claim);
     }
@@ -198,7 +198,7 @@
             claim.release(out);
             claim.id = fresh;
             claim.goes_by(lists);
-            claim.ask(now, out);
+            claim.ask(now, |_| false, out);
             self.by_token.insert(claim.token, fresh);
             self.claims.insert(fresh, claim);
         }
@@ -213,7 +213,7 @@
         claim.stage = Stage::Ending { fate, told: false };
         claim.reopen();
         claim.again = AGAIN;
-        claim.again(now, out);
+        claim.again(now, |_| false, out);
     }
 
     /// The run of a try never began and never will.
@@ -322,7 +322,9 @@
             if claim.stage == Stage::Waiting {
                 claim.reopen();
             }
-            claim.again(now, out);
+            // A copy that is hardly there is owed an end too, but is not told of each one again and again.
+            let held = claim.held_at.is_some();
+            claim.again(now, |node| held && lost(node), out);
             self.judge(now, id, out);
         }
     }
@@ -489,14 +491,14 @@
         }
     }
 
-    fn ask(&mut self, now: Time, out: &mut Vec<Do>) {
+    fn ask(&mut self, now: Time, skip: impl Fn(NodeId) -> bool, out: &mut Vec<Do>) {
         let Some(question) = self.question(now) else { return };
-        let open = self.answers.iter().filter(|(_, answer)| **answer == Answer::Open);
+        let open = self.answers.iter().filter(|(node, answer)| **answer == Answer::Open && !skip(**node));
         out.extend(open.map(|(node, _)| Do::Send(*node, question.clone())));
     }
 
-    fn again(&mut self, now: Time, out: &mut Vec<Do>) {
-        self.ask(now, out);
+    fn again(&mut self, now: Time, skip: impl Fn(NodeId) -> bool, out: &mut Vec<Do>) {
+        self.ask(now, skip, out);
         self.again_at = now + self.again;
         if self.stage != Stage::Waiting {
             self.again = (self.again * 2).min(AGAIN_LAST);
@@ -739,6 +741,23 @@
         assert_eq!(place.claims.count(), 0);
     }
 
+    #[test]
+    fn a_copy_that_is_hardly_there_is_not_told_of_each_end_again_and_again() {
+        let mut place = Place::new();
+        place.grant(1, 1, vec![]);
+        place.grant(2, 1, vec![]);
+        place.claims.ended(at(5), Token(1), Fate::Done("job".into()), &mut place.out);
+        let claim = place.id();
+        for from in [1, 2] {
+            place.claims.answered(at(6), id(from), 1, Frame::Kept { claim, kept: true }, &mut place.out);
+        }
+        place.out.clear();
+        place.claims.tick(at(60), |node| node == id(3), &mut place.out);
+        assert_eq!(place.out, []);
+        place.claims.tick(at(200), |_| false, &mut place.out);
+        assert!(matches!(place.out[..], [Do::Send(to, Frame::Ended { .. })] if to == id(3)), "it is back");
+    }
+
     #[test]
     fn who_waited_for_a_run_that_never_began_is_turned_away() {
         let mut place = Place::new();
--- a/node/src/peers/mod.rs
+++ b/node/src/peers/mod.rs
@@ -493,7 +493,9 @@
                 let address =
                     || lists.about().iter().rev().find_map(|list| list.member(to).map(|m| m.address));
                 let sent = links.send(to, address, || Frame::Hello(fleet.hello(to)), &frame);
-                if sent.is_err() {
+                // Once is enough for all that is said to it in one go.
+                let told = |event: &Event| matches!(event, Event::Unreached(node) if *node == to);
+                if sent.is_err() && !self.later.iter().any(told) {
                     self.later.push_back(Event::Unreached(to));
                 }
             }
--- a/rig/src/machine.rs
+++ b/rig/src/machine.rs
@@ -118,6 +118,8 @@
     pub list: RefCell<(u64, Vec<usize>)>,
     /// Whether its votes can be relied on, as far as it has said.
     pub sound: Cell<bool>,
+    /// Whether the program has said anything since it was started.
+    speaks: Cell<bool>,
     /// Where it serves; none while it is down.
     pub address: watch::Sender<Option<SocketAddr>>,
     programs: Programs,
@@ -166,6 +168,7 @@
             place: RefCell::default(),
             list: RefCell::default(),
             sound: Cell::new(false),
+            speaks: Cell::new(false),
             address: watch::channel(None).0,
             programs: programs.clone(),
             build: RefCell::new(build),
@@ -267,12 +270,14 @@
         let program = Program::start(&mut command, move |line| drop(say.blocking_send(line)))?;
         *self.program.borrow_mut() = Some(program);
         self.ending.set(None);
+        self.speaks.set(false);
         let machine = self.clone();
         spawn_local(async move {
             let mut file = machine
                 .keeps_log
                 .then(|| OpenOptions::new().create(true).append(true).open(machine.folder.join("log")));
             while let Some(line) = log.recv().await {
+                machine.speaks.set(true);
                 if let Some(Ok(file)) = &mut file {
                     // A log that can't be kept is not worth the play.
                     let _ = writeln!(file, "{line}");
@@ -462,7 +467,8 @@
 
     /// Notes what its program takes, and sees to it where its interpreter has died.
     pub fn sample(self: &Rc<Self>) {
-        let usage = self.program.borrow().as_ref().and_then(Program::usage);
+        // Until it speaks its process may still be a copy of this one, with all that this one has open.
+        let usage = self.program.borrow().as_ref().filter(|_| self.speaks.get()).and_then(Program::usage);
         if let Some(usage) = usage {
             let (rss_kb, files, cpu_ms) = (usage.rss_kb, usage.files, usage.cpu_ms);
             self.world.note(Event::Sample { node: self.node, rss_kb, files, cpu_ms });
