Take out of the fleet's decisions what they kept or did twice

Found on rereading the change. Whether a node's votes can be relied on was kept beside the table that knows it, and its bounds beside the table that has them; both are asked of the table now. A majority in each list was counted in three ways (claims.rs) and is counted in one. The bytes of a result were told apart in three places. Every change of a key was copied for the folder even where there is none, and its key copied again; only the key is named now, and what is to be written is made where a folder keeps it. A time that stood for 'not known' is gone, as the time is known there. A greeting that was handled ahead of all other frames, with an arm left over for it, is one of them. Two test files share one list.

--- a/fleet/src/catchup.rs
+++ b/fleet/src/catchup.rs
@@ -8,7 +8,6 @@
 use crate::copies::Link;
 use crate::frame::{Copied, Frame, Page, Position, Sound};
 use crate::list::NodeId;
-use crate::record::Fate;
 use crate::Time;
 
 /// Donors that are asked at a time.
@@ -46,10 +45,7 @@
 /// What a page takes on a link, about.
 pub fn weight(page: &Page) -> usize {
     let each = |record: &Copied| {
-        let result = match &record.ended {
-            Some(end) => 64 + if let Fate::Done(result) = &end.fate { result.len() } else { 0 },
-            None => 0,
-        };
+        let result = record.ended.as_ref().map_or(0, |end| 64 + end.fate.bytes());
         16 + record.key.len() + record.begun.len() * 40 + result
     };
     32 + page.records.iter().map(each).sum::<usize>()
--- a/fleet/src/claims.rs
+++ b/fleet/src/claims.rs
@@ -235,7 +235,6 @@
             Frame::Unsure { claim, why } => (claim, Answer::Unsure(why), Vec::new()),
             Frame::Free { claim } => (claim, Answer::Free, Vec::new()),
             Frame::Kept { claim, kept: true } => (claim, Answer::Kept, Vec::new()),
-            Frame::Kept { claim, kept: false } => (claim, Answer::Open, Vec::new()),
             _ => return,
         };
         let Some(claim) = self.claims.get_mut(&id) else { return };
@@ -271,10 +270,10 @@
     }
 
     /// A link to a copy broke, with what was on it: what it owes is asked again.
-    pub fn broken(&mut self, node: NodeId, out: &mut Vec<Do>) {
+    pub fn broken(&mut self, now: Time, node: NodeId, out: &mut Vec<Do>) {
         for claim in self.claims.values() {
             if claim.answers.get(&node) == Some(&Answer::Open) {
-                out.extend(claim.question(Time::MAX).map(|frame| Do::Send(node, frame)));
+                out.extend(claim.question(now).map(|frame| Do::Send(node, frame)));
             }
         }
     }
@@ -332,12 +331,10 @@
     /// The time of a try is up; returns whether its claim is over.
     fn give_up(&mut self, id: ClaimId, out: &mut Vec<Do>) -> bool {
         let Some(claim) = self.claims.get_mut(&id) else { return true };
-        match &mut claim.stage {
+        match claim.stage {
             Stage::Granted => false,
-            Stage::Ending { told, .. } => {
-                if !std::mem::replace(told, true) {
-                    out.push(Do::Tell(claim.token, Said::Held(false)));
-                }
+            Stage::Ending { .. } => {
+                claim.tells_held(false, out);
                 // The copies are still owed the result.
                 false
             }
@@ -401,18 +398,12 @@
     fn judge(&mut self, now: Time, id: ClaimId, out: &mut Vec<Do>) {
         let Some(claim) = self.claims.get_mut(&id) else { return };
         let token = claim.token;
-        match &mut claim.stage {
+        match claim.stage {
             Stage::Granted => {}
-            Stage::Ending { told, .. } => {
-                let held = claim.lists.iter().all(|(_, holders, majority)| {
-                    holders.iter().filter(|node| claim.answers.get(node) == Some(&Answer::Kept)).count()
-                        >= *majority
-                });
-                if held {
+            Stage::Ending { .. } => {
+                if claim.in_each_list(|node| claim.answers.get(node) == Some(&Answer::Kept)) {
                     claim.held_at.get_or_insert(now);
-                    if !std::mem::replace(told, true) {
-                        out.push(Do::Tell(token, Said::Held(true)));
-                    }
+                    claim.tells_held(true, out);
                 }
                 if claim.answers.values().all(|answer| *answer == Answer::Kept) {
                     self.forget(id);
@@ -468,14 +459,9 @@
         self.answers.values_mut().for_each(|answer| *answer = Answer::Open);
     }
 
-    fn keep_ms(&self, now: Time) -> u64 {
-        millis(self.until.saturating_sub(now))
-    }
-
-    /// What a copy is asked at this stage. Where `now` is not known, a key is remembered for longer than it need be.
+    /// What a copy is asked at this stage.
     fn question(&self, now: Time) -> Option<Frame> {
-        let keep_ms =
-            if now == Time::MAX { millis(self.until.saturating_sub(self.door.0)) } else { self.keep_ms(now) };
+        let keep_ms = millis(self.until.saturating_sub(now));
         let key = self.key.clone();
         match &self.stage {
             Stage::Asking => {
@@ -510,6 +496,22 @@
         out.extend(self.answers.keys().map(|node| Do::Send(*node, frame.clone())));
     }
 
+    /// Tells its try, once, whether a majority holds its end.
+    fn tells_held(&mut self, held: bool, out: &mut Vec<Do>) {
+        if let Stage::Ending { told: told @ false, .. } = &mut self.stage {
+            *told = true;
+            out.push(Do::Tell(self.token, Said::Held(held)));
+        }
+    }
+
+    /// Whether a majority of the copies is like that, in each list.
+    fn in_each_list(&self, like: impl Fn(&NodeId) -> bool) -> bool {
+        let majority = |(_, holders, majority): &(u64, Vec<NodeId>, usize)| {
+            holders.iter().filter(|node| like(node)).count() >= *majority
+        };
+        self.lists.iter().all(majority)
+    }
+
     /// Whether this copy's grant counts: it is of the copy's latest life that any copy knows.
     fn grants(&self, node: &NodeId) -> bool {
         matches!(self.answers.get(node), Some(Answer::Granted(life)) if self.lives.get(node) == Some(life))
@@ -535,21 +537,15 @@
             let said = if by.body == self.body { Said::Became(end.fate.clone()) } else { Said::Mismatch };
             return Some(Verdict::Over(said));
         }
-        let all = |holds: &dyn Fn(&[NodeId]) -> usize| {
-            self.lists.iter().all(|(_, holders, majority)| holds(holders) >= *majority)
-        };
-        let count = |holders: &[NodeId], counts: &dyn Fn(&NodeId) -> bool| {
-            holders.iter().filter(|n| counts(n)).count()
-        };
+        let answered = |node: &NodeId, answer: &Answer| self.answers.get(node) == Some(answer);
         if self.stage == Stage::Waiting {
-            let free = |node: &NodeId| self.answers.get(node) == Some(&Answer::Free);
-            return all(&|holders| count(holders, &free)).then_some(Verdict::Over(Said::Turned(Why::Freed)));
+            let free = self.in_each_list(|node| answered(node, &Answer::Free));
+            return free.then_some(Verdict::Over(Said::Turned(Why::Freed)));
         }
-        if all(&|holders| count(holders, &|node| self.grants(node))) {
+        if self.in_each_list(|node| self.grants(node)) {
             return Some(Verdict::Granted);
         }
-        let open = |node: &NodeId| self.grants(node) || self.answers.get(node) == Some(&Answer::Open);
-        if all(&|holders| count(holders, &open)) {
+        if self.in_each_list(|node| self.grants(node) || answered(node, &Answer::Open)) {
             return None;
         }
         let Some(first) = blocked.iter().map(|(by, _)| by.claim).min() else {
@@ -561,10 +557,11 @@
             return Some(Verdict::Over(Said::Turned(why.unwrap_or(Why::Returning))));
         };
         // Where several tries have a part of the copies each, the lowest claim goes on asking and the others give way.
-        let has_majority = self.lists.iter().any(|(_, holders, majority)| {
-            let by = |node: &NodeId| matches!(self.answers.get(node), Some(Answer::Blocked(by, _)) if by.claim == first);
-            count(holders, &by) >= *majority
-        });
+        let by_first = |node: &&NodeId| matches!(self.answers.get(node), Some(Answer::Blocked(by, _)) if by.claim == first);
+        let has_majority = self
+            .lists
+            .iter()
+            .any(|(_, holders, majority)| holders.iter().filter(by_first).count() >= *majority);
         if self.id < first && !has_majority {
             return None;
         }
--- a/fleet/src/copies.rs
+++ b/fleet/src/copies.rs
@@ -2,12 +2,13 @@
 //! A vote is never changed: it goes only with its claim, or with the key's window.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::frame::{own, Asked, Blocker, Copied, Frame, Page, Position, Sound, Why};
 use crate::list::{List, NodeId};
 use crate::lists::Lists;
-use crate::record::{ClaimId, End, Key, Known};
+use crate::record::{ClaimId, End, Fate, Key, Known};
 use crate::{Time, LONGEST_RESULT, READ_LATE};
 
 /// Memory that an entry takes beside its key and its result, by a generous estimate.
@@ -68,8 +69,8 @@
     pub answers: Vec<(Link, Frame)>,
     /// Questions to nodes.
     pub questions: Vec<(NodeId, Frame)>,
-    /// What is to be written down first.
-    pub change: Option<Change>,
+    /// The key of which something is to be written down first.
+    pub change: Option<Key>,
     /// Two runs of a key that have both ended: the one that stands, and the other.
     pub conflict: Option<(End, End)>,
 }
@@ -117,6 +118,12 @@
         (self.table.len(), self.bytes)
     }
 
+    /// It begins another life without its state. What it knows of others' lives stays true.
+    pub fn begin_anew(&mut self, life: u64, now: Time) {
+        let lives = std::mem::take(&mut self.lives);
+        *self = Copies { lives, ..Copies::new(self.me, life, self.most_bytes, false, now) };
+    }
+
     /// Its life has another number; nothing was granted in the one before.
     pub fn lives_as(&mut self, life: u64) {
         self.life = life;
@@ -152,13 +159,18 @@
         Sound::By(whole)
     }
 
-    /// Whether nothing that was lost matters any more, because every other node has told all that it knew.
+    /// Whether its votes can be relied on for every key.
+    pub fn is_whole(&self) -> bool {
+        self.soundness == Soundness::Whole
+    }
+
+    /// Whether nothing that was lost matters any more from now on, because every other node has told all that it knew.
     pub fn has_caught_up(&mut self, lists: &Lists) -> bool {
-        let whole = self.sound(lists) == Sound::Whole;
-        if whole {
+        let now_whole = !self.is_whole() && self.sound(lists) == Sound::Whole;
+        if now_whole {
             self.soundness = Soundness::Whole;
         }
-        whole
+        now_whole
     }
 
     /// Whether its votes can be relied on for a key: it has its state, or a window has passed since it lost that, or of
@@ -179,7 +191,8 @@
         })
     }
 
-    /// Time passes: what has run out goes, and after a window nothing that was lost matters any more.
+    /// Time passes: what has run out goes, and after a window nothing that was lost matters any more; whether that is so
+    /// from now on.
     pub fn tick(&mut self, now: Time, lists: &Lists) -> bool {
         while let Some((until, key)) = self.order.first().cloned() {
             if now < until + READ_LATE {
@@ -201,20 +214,21 @@
 
     /// Changes an entry and keeps the books.
     fn change<T>(&mut self, key: &Key, until: Time, change: impl FnOnce(&mut Entry) -> T) -> T {
-        let fresh = Entry { until, vote: None, known: Known::default(), waiting: Vec::new(), asked: None };
-        let mut entry = match self.table.remove_entry(key) {
-            Some((kept, entry)) => {
-                self.order.remove(&(entry.until, kept.clone()));
-                self.bytes -= entry.bytes(&kept);
-                entry
+        let (key, mut entry) = match self.table.remove_entry(key) {
+            Some((key, entry)) => {
+                self.order.remove(&(entry.until, key.clone()));
+                self.bytes -= entry.bytes(&key);
+                (key, entry)
             }
-            None => fresh,
+            // It outlives the buffer that it was read into.
+            None => (
+                own(key),
+                Entry { until, vote: None, known: Known::default(), waiting: Vec::new(), asked: None },
+            ),
         };
         entry.until = entry.until.max(until);
         let done = change(&mut entry);
         if !entry.known.is_empty() || entry.vote.is_some() {
-            // It outlives the buffer that it was read into.
-            let key = own(key);
             self.bytes += entry.bytes(&key);
             self.order.insert((entry.until, key.clone()));
             self.table.insert(key, entry);
@@ -271,7 +285,7 @@
                 entry.vote = Some(claim);
                 entry.known.begun.insert(claim, asked.body);
             });
-            outcome.change = Some(self.change_of(&asked.key, now));
+            outcome.change = Some(asked.key.clone());
         }
         let others = lists.about().iter().flat_map(|list| list.holders(&asked.key));
         let others: BTreeSet<NodeId> = others.filter(|node| *node != self.me).collect();
@@ -333,7 +347,7 @@
                 (conflict, std::mem::take(&mut entry.waiting), entry.known.ended.clone())
             });
             outcome.conflict = conflict;
-            outcome.change = Some(self.change_of(key, now));
+            outcome.change = Some(key.clone());
             for (link, waits) in waiting {
                 if let Some(end) = &stands {
                     let by =
@@ -362,7 +376,7 @@
                 Vec::new()
             }
         });
-        outcome.change = Some(self.change_of(key, now));
+        outcome.change = Some(key.clone());
         outcome.answers = waiting.into_iter().map(|(link, claim)| (link, Frame::Free { claim })).collect();
         outcome
     }
@@ -383,7 +397,7 @@
             }
             // The next one begins behind this one.
             next = Some((looked, Position { life: self.life, until_ns: nanos(*until), key: key.clone() }));
-            let holds = |list: &std::sync::Arc<List>| list.holders(key).contains(&of);
+            let holds = |list: &Arc<List>| list.holders(key).contains(&of);
             let Some(entry) = self.table.get(key).filter(|_| lists.about().iter().any(holds)) else {
                 continue;
             };
@@ -439,22 +453,11 @@
     }
 }
 
-impl crate::record::Fate {
-    fn bytes(&self) -> usize {
-        match self {
-            crate::record::Fate::Done(result) => result.len(),
-            crate::record::Fate::Failed => 0,
-        }
-    }
-}
-
 /// A result outlives the buffer that it was read into; one that is too long counts as failed for later tries.
-fn owned(fate: crate::record::Fate) -> crate::record::Fate {
+fn owned(fate: Fate) -> Fate {
     match fate {
-        crate::record::Fate::Done(result) if result.len() <= LONGEST_RESULT => {
-            crate::record::Fate::Done(own(&result))
-        }
-        _ => crate::record::Fate::Failed,
+        Fate::Done(result) if result.len() <= LONGEST_RESULT => Fate::Done(own(&result)),
+        _ => Fate::Failed,
     }
 }
 
@@ -471,9 +474,9 @@
 mod tests {
     use super::*;
     use crate::list::tests::{at, id, list};
-    use crate::record::Fate;
     use bytes::Bytes;
     use std::sync::Arc;
+    use Fate;
 
     fn lists() -> Lists {
         Lists::new(id(1), Arc::new(list(1, &[1, 2, 3], 1)))
@@ -540,7 +543,8 @@
         assert!(copies.release(at(2), &"k".into(), claim(9)).answers.is_empty(), "that one it does not know");
         let freed = copies.release(at(2), &"k".into(), claim(1));
         assert_eq!(freed.answers, [(2, Frame::Free { claim: claim(2) })]);
-        assert_eq!(freed.change, Some(Change { key: "k".into(), now: None }));
+        let written = copies.change_of(&freed.change.unwrap(), at(2));
+        assert_eq!(written, Change { key: "k".into(), now: None });
         assert_eq!(copies.size(), (0, 0));
         assert!(granted(&copies.claim(at(3), 2, &asked(2, "k"), &lists)));
     }
@@ -559,7 +563,7 @@
         assert!(!copies.has_caught_up(&lists), "for every key it lacks the word of the third");
         assert_eq!(copies.sound(&lists), Sound::By(vec![id(2)]), "who lacked something vouches for nobody");
         copies.caught_up(id(3), Sound::Whole);
-        assert!(copies.has_caught_up(&lists) && copies.sound(&lists) == Sound::Whole);
+        assert!(copies.has_caught_up(&lists) && copies.sound(&lists) == Sound::Whole && copies.is_whole());
         let mut copies = self::copies(false);
         assert!(!copies.tick(at(17_999), &lists) && copies.tick(at(18_000), &lists));
         assert!(granted(&copies.claim(at(18_000), 1, &asked(1, "k"), &lists)));
@@ -641,7 +645,8 @@
     #[test]
     fn what_it_wrote_down_itself_it_grants_again_after_a_restart() {
         let (mut copies, lists) = (copies(true), lists());
-        let written = copies.claim(at(0), 1, &asked(1, "k"), &lists).change.unwrap();
+        let key = copies.claim(at(0), 1, &asked(1, "k"), &lists).change.unwrap();
+        let written = copies.change_of(&key, at(0));
         let mut next = Copies::new(id(1), 8, 1 << 20, true, at(0));
         next.restore(at(0), vec![(copies.vote(b"k"), written.now.unwrap())]);
         assert!(granted(&next.claim(at(1), 1, &asked(1, "k"), &lists)));
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -9,11 +9,11 @@
 use crate::catchup::{weight, Catchup, Donor};
 use crate::claims::{Claims, Do, Said, Token, Wanted};
 use crate::copies::{Change, Copies, Link, Outcome};
-use crate::frame::{Copied, Frame, Hello, Standing, Why};
+use crate::frame::{Copied, Frame, Hello, Page, Standing, Why};
 use crate::list::{List, NodeId};
 use crate::lists::{Lists, Offer};
 use crate::members::{Counts, Members, Say};
-use crate::record::{ClaimId, End, Fate};
+use crate::record::{ClaimId, End, Fate, Key};
 use crate::Time;
 
 /// The link of a node with itself.
@@ -210,7 +210,6 @@
     me: NodeId,
     name: String,
     life: u64,
-    settings: (usize, u64),
     durable: bool,
     lists: Lists,
     members: Members,
@@ -222,7 +221,6 @@
     level: bool,
     /// Whether it has ever been level in this life: before that nobody relies on this life's number.
     was_level: bool,
-    sound: bool,
     beside: bool,
     last: Time,
     own: VecDeque<Frame>,
@@ -239,7 +237,6 @@
         let Settings { name, life, seed, bytes, bytes_per_s, probe, kept, durable } = settings;
         let me = NodeId::of(&name);
         let mut copies = Copies::new(me, life, bytes, kept.is_some(), now);
-        let sound = kept.is_some();
         copies.restore(now, kept.unwrap_or_default());
         let lists = Lists::new(me, list);
         let mut members = Members::new(me, life, seed, probe);
@@ -248,7 +245,6 @@
             me,
             name,
             life,
-            settings: (bytes, bytes_per_s),
             durable,
             lists,
             members,
@@ -259,7 +255,6 @@
             part: Part::Yes,
             level: false,
             was_level: false,
-            sound,
             beside: false,
             last: now,
             own: VecDeque::new(),
@@ -304,7 +299,7 @@
 
     /// Whether its votes can be relied on for every key.
     pub fn is_sound(&self) -> bool {
-        self.sound
+        self.copies.is_whole()
     }
 
     /// Donors that it still has to hear to the end.
@@ -352,7 +347,7 @@
                 self.with_claims(out, |claims, does| claims.unreached(now, node, does));
                 self.with_members(out, |members, says| members.unreached(node, says));
             }
-            Event::Broken(node) => self.with_claims(out, |claims, does| claims.broken(node, does)),
+            Event::Broken(node) => self.with_claims(out, |claims, does| claims.broken(now, node, does)),
             Event::List(list) => self.offered(now, list, out),
             Event::Stored(number, kept) => self.is_stored(number, kept, out),
             Event::Retire => {
@@ -382,9 +377,8 @@
             self.figures.turned += 1;
             return out.push(Action::Tell(wanted.token, Said::Turned(why)));
         }
-        let Fleet { claims, lists, .. } = self;
         let mut does = Vec::new();
-        claims.want(now, wanted, lists, &mut does);
+        self.claims.want(now, wanted, &self.lists, &mut does);
         self.carry_out(does, out);
     }
 
@@ -442,14 +436,14 @@
     }
 
     fn heard(&mut self, now: Time, link: Link, from: NodeId, life: u64, frame: Frame, out: &mut Vec<Action>) {
-        if let Frame::Hello(hello) = frame {
-            return self.greeted(now, link, from, hello, out);
-        }
+        // A greeting tells of the life that its link goes by.
+        let life = if let Frame::Hello(hello) = &frame { hello.life } else { life };
         if from != self.me {
             self.copies.lives(from, life);
             self.members.speaks(from, life);
         }
         match frame {
+            Frame::Hello(hello) => self.greeted(now, link, from, hello, out),
             Frame::Superseded { life } => self.superseded(life, out),
             Frame::AskList { number } => {
                 let known = self.lists.about().iter().find(|list| list.number() == number);
@@ -489,19 +483,19 @@
                 }
                 let counted = if granted { &mut self.figures.votes } else { &mut self.figures.votes_refused };
                 *counted += 1;
-                self.outcome(outcome, out);
+                self.outcome(now, outcome, out);
             }
             Frame::Ask { claim, key } => {
                 let outcome = self.copies.ask(now, link, claim, &key, &self.lists);
-                self.outcome(outcome, out);
+                self.outcome(now, outcome, out);
             }
             Frame::Ended { key, keep_ms, end } => {
                 let outcome = self.copies.ended(now, link, &key, keep_ms, end);
-                self.outcome(outcome, out);
+                self.outcome(now, outcome, out);
             }
             Frame::Release { key, claim } => {
                 let outcome = self.copies.release(now, &key, claim);
-                self.outcome(outcome, out);
+                self.outcome(now, outcome, out);
             }
             Frame::What { key, claim, body } => {
                 if let Some(frame) = self.claims.what(now, &key, claim, body, self.beside) {
@@ -520,7 +514,6 @@
                 self.give(now, out);
             }
             Frame::Page(page) => self.given(now, from, page, out),
-            Frame::Hello(_) => {}
         }
     }
 
@@ -529,8 +522,6 @@
         if hello.life < known {
             self.answer(link, Frame::Superseded { life: known }, out);
         }
-        self.copies.lives(from, hello.life);
-        self.members.speaks(from, hello.life);
         let contradicted =
             hello.lists.iter().find(|(number, digest)| self.lists.contradicted(*number, *digest));
         if let Some((number, _)) = contradicted {
@@ -606,12 +597,8 @@
             return;
         }
         let life = life.max(self.life + 1);
-        let (bytes, _) = self.settings;
-        let lives: Vec<(NodeId, u64)> =
-            self.others().into_iter().map(|node| (node, self.copies.life_of(node))).collect();
-        self.copies = Copies::new(self.me, life, bytes, false, now);
-        lives.into_iter().for_each(|(node, life)| self.copies.lives(node, life));
-        (self.part, self.level, self.was_level, self.sound) = (Part::Yes, false, false, false);
+        self.copies.begin_anew(life, now);
+        (self.part, self.level, self.was_level) = (Part::Yes, false, false);
         self.members.woke();
         self.lives_as(life, out);
         self.catchup.begin(&self.others());
@@ -641,41 +628,49 @@
 
     /// The lists that are about have changed.
     fn relisted(&mut self, now: Time, out: &mut Vec<Action>) {
-        let before = self.others();
+        let others = self.others();
         self.members.are(&self.lists.everyone());
-        self.catchup.keep(&before);
-        for node in before.iter().filter(|node| !self.copies.sound_by(**node)) {
-            if !self.sound && self.catchup.lacks(*node) {
-                self.catchup.also(*node);
+        self.catchup.keep(&others);
+        for node in others {
+            if !self.copies.sound_by(node) && self.catchup.lacks(node) {
+                self.catchup.also(node);
             }
         }
-        let Fleet { claims, lists, .. } = self;
         let mut does = Vec::new();
-        claims.relist(now, lists, &mut does);
+        self.claims.relist(now, &self.lists, &mut does);
         self.carry_out(does, out);
         out.push(Action::Greet);
     }
 
-    fn outcome(&mut self, outcome: Outcome, out: &mut Vec<Action>) {
+    fn outcome(&mut self, now: Time, outcome: Outcome, out: &mut Vec<Action>) {
         let Outcome { answers, questions, change, conflict } = outcome;
-        if let Some((stands, falls)) = conflict {
-            self.figures.conflicts += 1;
-            out.push(Action::Note(Note::Conflict(stands, falls)));
-        }
+        self.conflict(conflict, out);
         for (node, frame) in questions {
             self.send(node, frame, out);
         }
         match change.filter(|_| self.durable) {
-            Some(change) => {
-                self.stored += 1;
-                let vote = self.copies.vote(&change.key);
-                self.unstored.insert(self.stored, answers);
-                out.push(Action::Store(self.stored, change, vote));
+            Some(key) => {
+                let number = self.store(&key, now, out);
+                self.unstored.insert(number, answers);
             }
             None => answers.into_iter().for_each(|(link, frame)| self.answer(link, frame, out)),
         }
     }
 
+    /// Has it written down what is known of a key, under the number that is returned.
+    fn store(&mut self, key: &Key, now: Time, out: &mut Vec<Action>) -> u64 {
+        self.stored += 1;
+        out.push(Action::Store(self.stored, self.copies.change_of(key, now), self.copies.vote(key)));
+        self.stored
+    }
+
+    fn conflict(&mut self, conflict: impl IntoIterator<Item = (End, End)>, out: &mut Vec<Action>) {
+        for (stands, falls) in conflict {
+            self.figures.conflicts += 1;
+            out.push(Action::Note(Note::Conflict(stands, falls)));
+        }
+    }
+
     fn is_stored(&mut self, number: u64, kept: bool, out: &mut Vec<Action>) {
         for (link, frame) in self.unstored.remove(&number).unwrap_or_default() {
             let frame = match frame {
@@ -696,49 +691,41 @@
         }
     }
 
-    fn given(&mut self, now: Time, from: NodeId, page: crate::frame::Page, out: &mut Vec<Action>) {
+    fn given(&mut self, now: Time, from: NodeId, page: Page, out: &mut Vec<Action>) {
         let Some((records, last)) = self.catchup.given(from, page) else { return };
         self.figures.learnt += records.len() as u64;
-        let keys: Vec<_> = records.iter().map(|record| record.key.clone()).collect();
+        let changed = records.iter().filter(|_| self.durable);
+        let changed: Vec<Key> = changed.map(|record| record.key.clone()).collect();
         let (all, conflicts) = self.copies.learn(now, records);
-        for (stands, falls) in conflicts {
-            self.figures.conflicts += 1;
-            out.push(Action::Note(Note::Conflict(stands, falls)));
-        }
-        if self.durable {
-            for key in keys {
-                self.stored += 1;
-                let change = self.copies.change_of(&key, now);
-                out.push(Action::Store(self.stored, change, self.copies.vote(&key)));
-            }
+        self.conflict(conflicts, out);
+        for key in changed {
+            self.store(&key, now, out);
         }
         if !all {
             out.push(Action::Note(Note::NoRoom(from)));
         } else if let Some(sound) = last {
             self.copies.caught_up(from, sound);
-            if !self.sound && self.copies.has_caught_up(&self.lists) {
+            if self.copies.has_caught_up(&self.lists) {
                 self.is_sound_now(out);
             }
         }
         self.ask_donors(now, out);
     }
 
-    fn is_sound_now(&mut self, out: &mut Vec<Action>) {
-        self.sound = true;
+    fn is_sound_now(&self, out: &mut Vec<Action>) {
         out.push(Action::Note(Note::Sound(self.copies.size().0)));
     }
 
     fn ask_donors(&mut self, now: Time, out: &mut Vec<Action>) {
         let mut asks = Vec::new();
-        let Fleet { catchup, members, .. } = self;
-        catchup.tick(now, |node| members.standing(node) == Standing::Alive, &mut asks);
+        self.catchup.tick(now, |node| self.members.standing(node) == Standing::Alive, &mut asks);
         for (node, frame) in asks {
             self.send(node, frame, out);
         }
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
-        if self.copies.tick(now, &self.lists) && !self.sound {
+        if self.copies.tick(now, &self.lists) {
             self.is_sound_now(out);
         }
         if let Some(over) = self.lists.tick(now) {
@@ -748,8 +735,7 @@
         let level = self.level;
         self.with_members(out, |members, says| members.tick(now, level, says));
         let mut does = Vec::new();
-        let Fleet { claims, members, .. } = self;
-        claims.tick(now, |node| members.standing(node) != Standing::Alive, &mut does);
+        self.claims.tick(now, |node| self.members.standing(node) != Standing::Alive, &mut does);
         self.carry_out(does, out);
         if self.level {
             self.ask_donors(now, out);
@@ -763,7 +749,6 @@
 mod tests {
     use super::*;
     use crate::list::tests::{at, id, list, plain};
-    use crate::record::Key;
     use bytes::Bytes;
 
     fn settings(n: usize, life: u64, kept: bool) -> Settings {
--- a/fleet/src/record.rs
+++ b/fleet/src/record.rs
@@ -38,6 +38,16 @@
     Failed,
 }
 
+impl Fate {
+    /// What its result takes.
+    pub fn bytes(&self) -> usize {
+        match self {
+            Fate::Done(result) => result.len(),
+            Fate::Failed => 0,
+        }
+    }
+}
+
 /// The end of a run.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct End {
@@ -105,10 +115,7 @@
 
     /// What the result takes.
     pub fn bytes(&self) -> usize {
-        match &self.ended {
-            Some(End { fate: Fate::Done(result), .. }) => result.len(),
-            _ => 0,
-        }
+        self.ended.as_ref().map_or(0, |end| end.fate.bytes())
     }
 }
 
--- a/fleet/tests/model.rs
+++ b/fleet/tests/model.rs
@@ -5,6 +5,8 @@
 //! A message that was sent may be delivered at any time and any number of times, or never: that is loss, doubling and
 //! reordering at once. Time stands still, so no window ends. `OAKWIND_MODEL_DEPTH` sets another depth.
 
+mod lists;
+
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,7 +14,7 @@
 use oakwind_fleet::claims::{Claims, Do, Said, Token, Wanted};
 use oakwind_fleet::copies::{Copies, Outcome};
 use oakwind_fleet::frame::{Frame, Sound};
-use oakwind_fleet::list::{List, Member, NodeId, Plain};
+use oakwind_fleet::list::{List, NodeId};
 use oakwind_fleet::lists::Lists;
 use oakwind_fleet::record::{Fate, Key};
 use oakwind_fleet::Time;
@@ -121,17 +123,11 @@
 }
 
 fn id(node: Node) -> NodeId {
-    NodeId::of(&format!("n{}", node.0))
+    NodeId::of(&lists::name(node.0))
 }
 
 fn list(number: u64, nodes: &[usize]) -> Arc<List> {
-    let members = nodes.iter().map(|n| Member {
-        name: format!("n{n}"),
-        address: ([127, 0, 0, 1], 7000 + *n as u16).into(),
-        zone: "z".into(),
-    });
-    let plain = Plain { number, copies: 3, window: Duration::from_secs(10), members: members.collect() };
-    Arc::new(List::new(plain).unwrap())
+    lists::list(number, nodes, 1, Duration::from_secs(10))
 }
 
 const NOW: Time = Duration::from_secs(100);
--- a/fleet/tests/sim.rs
+++ b/fleet/tests/sim.rs
@@ -1,14 +1,17 @@
 //! Fleets of the decisions in virtual time: up to 300 nodes, thousands of keys, and faults drawn by a seed. A failing seed
 //! is printed; `OAKWIND_SIM_SEED` plays one again, `OAKWIND_SIM_SEEDS` plays so many from there on.
 
+mod lists;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
+use lists::{list, name};
 use oakwind_fleet::claims::{Said, Token, Wanted};
 use oakwind_fleet::frame::Frame;
-use oakwind_fleet::list::{List, Member, NodeId, Plain};
+use oakwind_fleet::list::{List, NodeId};
 use oakwind_fleet::node::{Action, Event, Fleet, Note, Settings, TICK};
 use oakwind_fleet::record::{Fate, Key};
 use oakwind_fleet::Time;
@@ -23,20 +26,6 @@
     Duration::from_millis(millis)
 }
 
-fn name(n: usize) -> String {
-    format!("n{n}")
-}
-
-fn list(number: u64, nodes: &[usize], zones: usize) -> Arc<List> {
-    let members = nodes.iter().map(|n| Member {
-        name: name(*n),
-        address: ([127, 0, 0, 1], 7000 + *n as u16).into(),
-        zone: format!("z{}", n % zones),
-    });
-    let plain = Plain { number, copies: 3, window: WINDOW, members: members.collect() };
-    Arc::new(List::new(plain).unwrap())
-}
-
 enum What {
     Tick,
     Event(Event),
@@ -137,7 +126,7 @@
             queue: BinaryHeap::new(),
             machines: Vec::new(),
             index: (0..nodes + 10).map(|n| (NodeId::of(&name(n)), n)).collect(),
-            list: list(1, &all, zones),
+            list: list(1, &all, zones, WINDOW),
             zones,
             weather,
             cut: BTreeMap::new(),
@@ -448,7 +437,7 @@
     }
     // One node goes and one comes, told to everyone at different times.
     let next: Vec<usize> = (0..nodes + 1).filter(|n| *n != 1).collect();
-    let next = list(2, &next, zones);
+    let next = list(2, &next, zones, WINDOW);
     let mut told: Vec<usize> = (0..nodes).filter(|n| *n != 1).collect();
     told.shuffle(&mut sim.rng);
     for node in told {
