Give the rig's nodes their own address, and the line between two, in one place each

The virtual router and the links of nodes that talk had each written both again. Processes of the rig share one range of addresses now.

--- a/rig/src/play.rs
+++ b/rig/src/play.rs
@@ -260,20 +260,31 @@
     });
 }
 
+/// Every two nodes, each way.
+fn pairs(count: usize) -> impl Iterator<Item = (usize, usize)> {
+    let all = (0..count).flat_map(move |from| (0..count).map(move |to| (from, to)));
+    all.filter(|(from, to)| from != to)
+}
+
 impl Stage {
+    /// An address of this play's and this node's own: the port that is free there stays free.
+    fn own_address(&self, node: usize) -> Ipv4Addr {
+        let of_process = 100 + (std::process::id() % 150) as u8;
+        Ipv4Addr::new(127, of_process, (self.world.number % 250) as u8, node as u8 + 1)
+    }
+
+    /// A line from one node to another, with random numbers of its own.
+    fn line_between(&self, from: usize, to: usize) -> Line {
+        let number = (PEERS + from * self.machines.len() + to) as u64;
+        Line::new(self.world.clock, generator(self.world.seed, Stream::Links, number))
+    }
+
     /// Joins all nodes to one virtual router, each pair by a line each way.
     async fn router(&self, interval_ms: u64) -> io::Result<()> {
         let count = self.machines.len();
         let mut hears = Vec::new();
         for node in 0..count {
-            // An address of this play's and this node's own: the port that is free there stays free.
-            let own = Ipv4Addr::new(
-                127,
-                100 + (std::process::id() % 100) as u8,
-                (self.world.number % 250) as u8,
-                node as u8 + 1,
-            );
-            hears.push(UdpSocket::bind((own, 0)).await?.local_addr()?);
+            hears.push(UdpSocket::bind((self.own_address(node), 0)).await?.local_addr()?);
         }
         // For each node, the sockets that stand for the others.
         let mut stands: Vec<Vec<Rc<UdpSocket>>> = Vec::new();
@@ -285,10 +296,8 @@
             stands.push(others);
         }
         let mut lines = HashMap::new();
-        let pairs = (0..count).flat_map(|from| (0..count).map(move |to| (from, to)));
-        for (from, to) in pairs.filter(|(from, to)| from != to) {
-            let number = (PEERS + from * count + to) as u64;
-            let line = Line::new(self.world.clock, generator(self.world.seed, Stream::Links, number));
+        for (from, to) in pairs(count) {
+            let line = self.line_between(from, to);
             lines.insert((from, to), line.clone());
             // What `from` sends to its stand-in of `to` comes to `to` from its stand-in of `from`.
             let (put, mut take) = mpsc::channel::<Vec<u8>>(WAITING);
@@ -318,21 +327,12 @@
         let count = self.machines.len();
         let mut listens = Vec::new();
         for node in 0..count {
-            // Its own address, so that the port that is free there stays free.
-            let own = Ipv4Addr::new(
-                127,
-                (200 + std::process::id() % 50) as u8,
-                (self.world.number % 250) as u8,
-                node as u8 + 1,
-            );
-            listens.push(TcpListener::bind((own, 0)).await?.local_addr()?);
+            listens.push(TcpListener::bind((self.own_address(node), 0)).await?.local_addr()?);
         }
         let mut lines = HashMap::new();
         let mut reaches = vec![listens.clone(); count];
-        let pairs = (0..count).flat_map(|from| (0..count).map(move |to| (from, to)));
-        for (from, to) in pairs.filter(|(from, to)| from != to) {
-            let number = (PEERS + from * count + to) as u64;
-            let line = Line::new(self.world.clock, generator(self.world.seed, Stream::Links, number));
+        for (from, to) in pairs(count) {
+            let line = self.line_between(from, to);
             let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
             reaches[from][to] = listener.local_addr()?;
             let (put, mut ends) = mpsc::channel::<DuplexStream>(WAITING);
