Copy no result for a keeper that keeps nothing, and open listeners and map fates in one place

With neither a folder nor peers the result of each keyed run was copied all the same before the keeper said that nothing keeps it (keeper.rs, ended): off is to cost nothing. A listener was opened by the same five calls in serve.rs and in peers/mod.rs; listen.rs does it for both. What a try gets that another try of its key stands for was written three times in core.rs, and telling all that wait five times; each is one function. The core took what the folder recovered in the folder's own type, and gets it now as any process hands it on. That a node is on its own list was checked at the start and by check-config, each by itself. How long a key is kept past its time, and the longest result, are one number for the fleet and the folder.

--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -23,8 +23,9 @@
 /// A point in time on a clock of this node's own that never goes back and does not stop while the process does.
 pub type Time = Duration;
 
-/// A key that has run out is kept this much longer, for tries that were read late.
+/// A key that has run out is kept this much longer for tries that were read late: those that came to the machine in its
+/// time are still linked to it.
 pub const READ_LATE: Duration = Duration::from_secs(8);
 
-/// The longest result that copies keep, in bytes.
+/// The longest result that is kept, in bytes; one that is longer counts as failed for later tries.
 pub const LONGEST_RESULT: usize = 64 * 1024;
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -127,6 +127,17 @@
         }
         Ok(Told { config, uwsgi, remembered, fleet })
     }
+
+    /// The same for a start: a node has to be on the list that it begins with.
+    pub fn read_for_start(&self) -> Result<Told, BadConfig> {
+        let told = self.read()?;
+        if let Some(fleet) = &told.fleet {
+            if fleet.list.place(NodeId::of(&fleet.name)).is_none() {
+                return bad(format!("fleet file, name: {:?} is not on the list", fleet.name));
+            }
+        }
+        Ok(told)
+    }
 }
 
 /// The platform's configuration.
@@ -565,14 +576,6 @@
     pub fn read(path: &Path) -> Result<Self, BadConfig> {
         Fleet::parse(&text_of(path)?)
     }
-
-    /// Whether this node may start with it: it has to be on the list.
-    pub fn is_listed(&self) -> Result<(), BadConfig> {
-        match self.list.place(NodeId::of(&self.name)) {
-            Some(_) => Ok(()),
-            None => bad(format!("fleet file, name: {:?} is not on the list", self.name)),
-        }
-    }
 }
 
 impl Vrrp {
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -1,7 +1,7 @@
 //! Drives the decisions: gathers what happened in one wake-up into one call of [`Admission::handle`], carries
 //! out its actions, and keeps the table of requests, the table of keys and the timers. It knows no wire.
 
-pub mod keys;
+mod keys;
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
@@ -24,7 +24,6 @@
 use crate::fate::{Fate, Kept, Key, KeyRecord};
 use crate::keeper::{Keeper, Run, Word};
 use crate::log;
-use crate::remembered::recovery::Recovered;
 use keys::{Keys, Linked};
 
 /// The gauges are asked for this long before the timer that they go with, as the answer takes a moment.
@@ -144,17 +143,17 @@
         }
     }
 
-    /// Keys are kept beyond the process from now on, and this is what the ones before it left. None while the process
-    /// before still has it.
-    pub fn keep(&mut self, keeper: Keeper, recovered: Option<Recovered>) {
+    /// Keys are kept beyond the process from now on, as far as anything keeps them, and this is what the ones before it
+    /// left. None while the process before still has it.
+    pub fn keep(&mut self, keeper: Keeper, left: Option<Estate>) {
         keeper.counts(&self.ends.figures);
         self.keeper = keeper;
-        if self.keeper.lasts() {
+        if self.keeper.keeps() {
             self.keys = std::mem::take(&mut self.keys).lasting();
         }
-        if let Some(recovered) = recovered {
-            self.keys.digests_with(recovered.seed);
-            self.recall(recovered.keys);
+        if let Some(left) = left {
+            self.keys.digests_with(left.seed);
+            self.recall(left.keys);
         }
     }
 
@@ -273,9 +272,7 @@
             }
             Input::Inherit(estate) => self.inherit(estate),
             Input::InheritanceOver => {
-                for joiner in self.keys.inheritance_over() {
-                    self.join_ended(joiner, &Kept::Failed, clock::now());
-                }
+                self.inheritance_over();
                 self.inherited();
                 self.keeper.alone();
                 self.update(|state| state.succeeds = false);
@@ -368,11 +365,16 @@
         if self.in_doubt(key, now) {
             return Some(Outcome::Failed { overdue: false });
         }
-        Some(match self.keys.kept(key, &request.body, request.door)? {
-            Kept::Done(result) => Outcome::Served(result),
+        Some(self.outcome_of(&self.keys.kept(key, &request.body, request.door)?))
+    }
+
+    /// What a try gets that another try of its key stands for.
+    fn outcome_of(&self, kept: &Kept) -> Outcome {
+        match kept {
+            Kept::Done(result) => Outcome::Served(result.clone()),
             Kept::Failed => Outcome::Failed { overdue: false },
-            Kept::NeverRan => return None,
-        })
+            Kept::NeverRan => self.not_now(),
+        }
     }
 
     /// Whether a key that is not known may have run, as far as damage to what was kept tells.
@@ -386,9 +388,13 @@
             let id = self.new_id();
             self.keys.inherit(key, (body, until, fate), id);
         }
-        for joiner in self.keys.inheritance_over() {
-            self.join_ended(joiner, &Kept::Failed, clock::now());
-        }
+        self.inheritance_over();
+    }
+
+    /// What earlier processes began and told no end of has failed.
+    fn inheritance_over(&mut self) {
+        let joiners = self.keys.inheritance_over();
+        self.all_join_ended(joiners, &Kept::Failed);
     }
 
     /// The keeper has something to say.
@@ -416,17 +422,9 @@
     /// What became of another node's run of a try's key.
     fn became(&mut self, id: RequestId, kept: Kept) {
         self.elsewhere(id);
-        let answer = match &kept {
-            Kept::Done(result) => Outcome::Served(result.clone()),
-            Kept::Failed => Outcome::Failed { overdue: false },
-            Kept::NeverRan => self.not_now(),
-        };
-        self.answer(id, answer);
+        self.answer(id, self.outcome_of(&kept));
         self.keep_fate(id, &kept);
-        self.tell_heir_of(id, kept.fate());
-        for joiner in self.keys.ended(id, kept.clone()) {
-            self.join_ended(joiner, &kept, clock::now());
-        }
+        self.key_ended(id, &kept);
         self.forget(id);
     }
 
@@ -434,9 +432,8 @@
     fn unknown(&mut self, id: RequestId, answer: Outcome) {
         self.elsewhere(id);
         self.answer(id, answer);
-        for joiner in self.keys.abandon(id) {
-            self.join_ended(joiner, &Kept::Failed, clock::now());
-        }
+        let joiners = self.keys.abandon(id);
+        self.all_join_ended(joiners, &Kept::Failed);
         self.forget(id);
     }
 
@@ -476,7 +473,6 @@
 
     /// Takes in what the process before this one knows. The first of it is its whole table.
     fn inherit(&mut self, estate: Estate) {
-        let now = clock::now();
         let first = self.ends.state.borrow().inheriting;
         if first {
             self.keys.digests_with(estate.seed);
@@ -489,9 +485,7 @@
                 if let Some(holder) = self.keys.holder(&key).filter(|_| !first) {
                     self.keep_fate(holder, &kept);
                 }
-                for joiner in joiners {
-                    self.join_ended(joiner, &kept, now);
-                }
+                self.all_join_ended(joiners, &kept);
             }
         }
         if first {
@@ -623,23 +617,32 @@
         };
         self.answer(id, answer);
         self.events.push(Event::Finished { id, outcome, took: now.saturating_sub(since) });
-        self.tell_heir_of(id, kept.fate());
-        for joiner in self.keys.ended(id, kept.clone()) {
-            self.join_ended(joiner, &kept, now);
-        }
+        self.key_ended(id, &kept);
         self.forget(id);
     }
 
+    /// It is known what became of a try's key: whoever waits for that is told.
+    fn key_ended(&mut self, id: RequestId, kept: &Kept) {
+        self.tell_heir_of(id, kept.fate());
+        let joiners = self.keys.ended(id, kept.clone());
+        self.all_join_ended(joiners, kept);
+    }
+
+    fn all_join_ended(&mut self, joiners: Vec<RequestId>, kept: &Kept) {
+        let now = clock::now();
+        joiners.into_iter().for_each(|joiner| self.join_ended(joiner, kept, now));
+    }
+
     /// Serves a joined try with what became of the try that ran.
     fn join_ended(&mut self, id: RequestId, kept: &Kept, now: Unix) {
         let Some(Try { phase: Phase::Joining { since }, .. }) = self.tries.get(&id) else { return };
         let took = now.saturating_sub(*since);
-        let (outcome, answer) = match kept {
-            Kept::Done(result) => (Ended::Ok, Outcome::Served(result.clone())),
-            Kept::Failed => (Ended::Error, Outcome::Failed { overdue: false }),
-            Kept::NeverRan => (Ended::Refused, self.not_now()),
+        let outcome = match kept {
+            Kept::Done(_) => Ended::Ok,
+            Kept::Failed => Ended::Error,
+            Kept::NeverRan => Ended::Refused,
         };
-        self.answer(id, answer);
+        self.answer(id, self.outcome_of(kept));
         self.events.push(Event::Finished { id, outcome, took });
         self.forget(id);
     }
--- a/node/src/fate.rs
+++ b/node/src/fate.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+/// How much longer a key that has run out is kept, and the longest result that is: the same for all that keeps them.
+pub use oakwind_fleet::{LONGEST_RESULT, READ_LATE};
 use siphasher::sip::SipHasher13;
 
 use crate::clock::Unix;
@@ -13,13 +15,6 @@
 /// class gets another name between two of them.
 pub type Key = Bytes;
 
-/// An entry that has run out is kept this much longer for tries that were read late: those that came to the
-/// machine in its time are still linked to it.
-pub const READ_LATE: Duration = Duration::from_secs(8);
-
-/// The longest result that is kept; one that is longer counts as failed for later tries.
-pub const LONGEST_RESULT: usize = 64 * 1024;
-
 /// The one final answer to a request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Outcome {
--- a/node/src/keeper.rs
+++ b/node/src/keeper.rs
@@ -99,8 +99,8 @@
         }
     }
 
-    /// Whether results stay for as long as their keys.
-    pub fn lasts(&self) -> bool {
+    /// Whether anything is kept beyond the process, and so results for as long as their keys.
+    pub fn keeps(&self) -> bool {
         self.folder.is_some() || self.peers.is_some()
     }
 
@@ -130,7 +130,7 @@
 
     /// Leaves all to another process of this node. These runs may still begin here.
     pub fn let_go(&mut self, held: Vec<Run>) {
-        for run in held {
+        for run in &held {
             self.record(run, State::Begun, Bytes::new());
         }
         if let Some(folder) = &mut self.folder {
@@ -143,7 +143,7 @@
 
     /// Whether a run may begin; none if that is told later. A try without a key may.
     pub fn may_begin(&mut self, run: Option<Run>) -> Option<bool> {
-        let Some(run) = run else { return Some(true) };
+        let Some(run) = run.filter(|_| self.keeps()) else { return Some(true) };
         let folder = self.asked_folder(&run, State::Begun, Bytes::new());
         let peers = match (&self.peers, &run.request) {
             (None, _) => Answer::Yes,
@@ -159,15 +159,19 @@
             _ => Answer::No,
         };
         if folder == Answer::Open && peers == Answer::No {
-            self.record(run, State::Freed, Bytes::new());
+            self.record(&run, State::Freed, Bytes::new());
             return Some(false);
         }
-        self.waits(run, None, folder, peers).map(|_| folder != Answer::No && peers != Answer::No)
+        if folder == Answer::Open || peers == Answer::Open {
+            self.waiting.insert(run.id, Waiting { end: None, folder, peers, run });
+            return None;
+        }
+        Some(folder != Answer::No && peers != Answer::No)
     }
 
     /// A run has ended; returns how, as it is kept, unless that is told later.
     pub fn ended(&mut self, run: Option<Run>, end: End) -> Option<End> {
-        let Some(run) = run else { return Some(end) };
+        let Some(run) = run.filter(|_| self.keeps()) else { return Some(end) };
         // It outlives the buffer that it was read into.
         let (state, result) = match &end {
             End::Done(result) => (State::Done, Bytes::copy_from_slice(result)),
@@ -186,17 +190,11 @@
                 }
             },
         };
-        let ended = self.waits(run, Some(end), folder, peers)?;
-        Some(if folder == Answer::No || peers == Answer::No { End::Crashed } else { ended? })
-    }
-
-    /// Lets a try wait if anything is open; otherwise returns what it would have waited for.
-    fn waits(&mut self, run: Run, end: Option<End>, folder: Answer, peers: Answer) -> Option<Option<End>> {
         if folder == Answer::Open || peers == Answer::Open {
-            self.waiting.insert(run.id, Waiting { end, folder, peers, run });
+            self.waiting.insert(run.id, Waiting { end: Some(end), folder, peers, run });
             return None;
         }
-        Some(end)
+        Some(if folder == Answer::No || peers == Answer::No { End::Crashed } else { end })
     }
 
     /// A run never began and never will.
@@ -209,17 +207,17 @@
     /// Keeps what became of a run that nobody waits for.
     pub fn over(&mut self, run: Run, kept: &Kept) {
         match kept {
-            Kept::Done(result) => self.record(run, State::Done, result.clone()),
-            Kept::Failed => self.record(run, State::Failed, Bytes::new()),
+            Kept::Done(result) => self.record(&run, State::Done, result.clone()),
+            Kept::Failed => self.record(&run, State::Failed, Bytes::new()),
             Kept::NeverRan => {
                 self.never_ran(run.id);
-                self.record(run, State::Freed, Bytes::new())
+                self.record(&run, State::Freed, Bytes::new())
             }
         };
     }
 
     fn asked_folder(&self, run: &Run, state: State, result: Bytes) -> Answer {
-        match self.record(run.clone(), state, result) {
+        match self.record(run, state, result) {
             Some(true) => Answer::Open,
             Some(false) => Answer::No,
             None => Answer::Yes,
@@ -227,9 +225,10 @@
     }
 
     /// Hands a record to the folder: whether the disk takes it, or none where there is none, or another process has it.
-    fn record(&self, run: Run, state: State, result: Bytes) -> Option<bool> {
+    fn record(&self, run: &Run, state: State, result: Bytes) -> Option<bool> {
         let recorder = self.folder.as_ref()?.recorder.as_ref()?;
-        let Run { id, key, body, until, .. } = run;
+        let Run { id, body, until, .. } = *run;
+        let key = run.key.clone();
         Some(recorder.write(id, Record { number: 0, at: Duration::ZERO, until, body, state, key, result }))
     }
 
@@ -317,7 +316,7 @@
     /// A try that waited to begin does not: the folder is told that its key is free here.
     fn not_begun(&mut self, id: RequestId) {
         if let Some(waiting) = self.waiting.remove(&id) {
-            self.record(waiting.run, State::Freed, Bytes::new());
+            self.record(&waiting.run, State::Freed, Bytes::new());
         }
     }
 
@@ -333,7 +332,7 @@
         match end {
             None => {
                 if refused && folder != Answer::No {
-                    self.record(run, State::Freed, Bytes::new());
+                    self.record(&run, State::Freed, Bytes::new());
                 }
                 if refused && peers != Answer::No {
                     self.never_ran(id);
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -14,6 +14,7 @@
 mod http;
 mod keeper;
 mod lines;
+mod listen;
 mod log;
 mod membership;
 mod names;
@@ -93,11 +94,8 @@
             serve::serve(&Files { config, uwsgi, remembered, fleet })
         }
         Command::Check(Check { config, uwsgi, remembered, fleet }) => {
-            let files = Files { config, uwsgi, remembered, fleet };
-            let checked = files
-                .read()
-                .and_then(|told| told.fleet.map_or(Ok(()), |f| f.is_listed()).map(|()| told.config));
-            checked.map(|config| println!("{}: can be served", config.name)).map_err(|e| e.to_string())
+            let checked = Files { config, uwsgi, remembered, fleet }.read_for_start();
+            checked.map(|told| println!("{}: can be served", told.config.name)).map_err(|e| e.to_string())
         }
         Command::Version(Version {}) => {
             println!("oakwind {}", env!("CARGO_PKG_VERSION"));
--- a/node/src/peers/mod.rs
+++ b/node/src/peers/mod.rs
@@ -7,7 +7,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io;
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -15,29 +14,27 @@
 use bytes::Bytes;
 use oakwind_fleet::claims::{Said, Token, Wanted};
 use oakwind_fleet::copies::{Change, Link};
-use oakwind_fleet::frame::{Copied, Frame};
+use oakwind_fleet::frame::{Copied, Frame, Hello, Why};
 use oakwind_fleet::list::NodeId;
 use oakwind_fleet::node::{Action, Event, Figures, Fleet, Note, Settings, TICK};
 use oakwind_fleet::record::{ClaimId, Fate};
 use oakwind_fleet::{Time, READ_LATE};
 use sha2::{Digest, Sha256};
 use swiftwinch::RequestId;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
 use crate::clock::{self, Unix};
 use crate::config::Fleet as Config;
-use crate::log;
 use crate::remembered::record::{Record, State};
 use crate::remembered::{Remembrance, Told};
+use crate::{listen, log};
 use links::{Heard, Links};
 
 /// What may wait for the peers, and what they may have to tell; who finds no room is turned away.
 const WAITING: usize = 4096;
 /// Frames that may wait; who sends more waits.
 const INBOX: usize = 1024;
-/// Connections that the system may keep until they are accepted.
-const BACKLOG: u32 = 1024;
 /// Between two attempts to open a folder that another process still has, and how long they go on.
 const AGAIN: Duration = Duration::from_millis(10);
 const OWED: Duration = Duration::from_secs(2);
@@ -131,7 +128,7 @@
             key: asked.key.clone(),
             body: digest.iter().take(16).fold(0, |all, byte| all << 8 | u128::from(*byte)),
             until: self.clock.of(asked.until),
-            door: (self.clock.of(asked.door), u64::try_from(asked.door.as_millis()).unwrap_or(u64::MAX)),
+            door: (self.clock.of(asked.door), clock::millis(asked.door)),
             due: self.clock.of(asked.due),
         };
         self.order(Event::Want(wanted))
@@ -192,14 +189,6 @@
     u64::try_from(clock::now().as_micros()).unwrap_or(u64::MAX)
 }
 
-/// Opens what peers connect to.
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
-}
-
 /// The task that talks to peers.
 pub struct Driver {
     config: Config,
@@ -210,8 +199,8 @@
     shown: Rc<Shown>,
     /// Open before the task runs, unless a process before this one still has it.
     listener: Option<TcpListener>,
-    folder: Option<Remembrance>,
-    kept: Option<Kept>,
+    /// The folder, if there is one and it is open.
+    opened: Option<Opened>,
 }
 
 /// A node's talk with its peers, to be run. `beside` if a process before this one still has the address and the folder.
@@ -231,16 +220,14 @@
         tell,
         shown: shown.clone(),
         listener: None,
-        folder: None,
-        kept: None,
+        opened: None,
         config,
     };
     if !beside {
         let address = driver.config.listen;
-        driver.listener = Some(listen(address).map_err(|e| format!("fleet file, listen: {address}: {e}"))?);
-        if let Some((folder, kept)) = open(&driver.config)? {
-            (driver.folder, driver.kept) = (Some(folder), kept);
-        }
+        let listener = listen::open(address, false);
+        driver.listener = Some(listener.map_err(|e| format!("fleet file, listen: {address}: {e}"))?);
+        driver.opened = open(&driver.config)?;
     }
     Ok((Peers { orders, told, clock, shown }, driver))
 }
@@ -248,8 +235,11 @@
 /// What a node kept of its last life, with its votes.
 type Kept = Vec<(Option<ClaimId>, Copied)>;
 
+/// A folder, and what it kept if that can be relied on.
+type Opened = (Remembrance, Option<Kept>);
+
 /// Opens the folder and takes in what the last process left, if that can be relied on. None where there is no folder.
-fn open(config: &Config) -> Result<Option<(Remembrance, Option<Kept>)>, String> {
+fn open(config: &Config) -> Result<Option<Opened>, String> {
     let Some(remembered) = config.folder.clone() else { return Ok(None) };
     let sound = remembered.folder.join(SOUND);
     let mut folder = Remembrance::closed(remembered, config.list.window() + READ_LATE);
@@ -259,7 +249,7 @@
     let kept = recovered.keys.iter().map(|record| {
         let crate::fate::Fate::Done(bytes) = &record.fate else { return None };
         let (vote, copied) = postcard::from_bytes::<(Option<ClaimId>, Copied)>(bytes).ok()?;
-        let keep_ms = u64::try_from(record.until.saturating_sub(now).as_millis()).unwrap_or(u64::MAX);
+        let keep_ms = clock::millis(record.until.saturating_sub(now));
         Some((vote, Copied { keep_ms, ..copied }))
     });
     let kept: Option<Kept> = kept.collect();
@@ -273,7 +263,7 @@
 }
 
 /// The same where another process of this node may have it for a moment more.
-async fn open_soon(config: &Config) -> Option<(Remembrance, Option<Kept>)> {
+async fn open_soon(config: &Config) -> Option<Opened> {
     let by = clock::now() + OWED;
     loop {
         match open(config) {
@@ -288,27 +278,32 @@
 }
 
 impl Driver {
-    /// Talks for as long as the process. One that takes over begins when the process before lets go.
-    pub async fn run(mut self) {
-        let mut waits = self.listener.is_none();
-        while waits {
+    /// Waits until the process before lets go; false if there is nobody left to talk for.
+    async fn begins(&mut self) -> bool {
+        loop {
             match self.orders.recv().await {
-                Some(Event::Resume(_)) => waits = false,
+                Some(Event::Resume(_)) => return true,
                 Some(Event::Want(wanted)) => {
-                    let said = Said::Turned(oakwind_fleet::frame::Why::Unheard);
+                    let said = Said::Turned(Why::Unheard);
                     // The keeper ends only with the process.
                     let _ = self.tell.send((request(wanted.token), said)).await;
                 }
                 Some(_) => {}
-                None => return,
+                None => return false,
             }
         }
+    }
+
+    /// Talks for as long as the process. One that takes over begins when the process before lets go.
+    pub async fn run(mut self) {
         if self.listener.is_none() {
-            if let Some((folder, kept)) = open_soon(&self.config).await {
-                (self.folder, self.kept) = (Some(folder), kept);
+            if !self.begins().await {
+                return;
             }
+            self.opened = open_soon(&self.config).await;
         }
-        let Driver { config, clock, seed, mut orders, tell, shown, mut listener, mut folder, kept } = self;
+        let Driver { config, clock, seed, mut orders, tell, shown, mut listener, opened } = self;
+        let (mut folder, kept) = opened.unzip();
         let settings = Settings {
             name: config.name.clone(),
             life: life(),
@@ -316,7 +311,7 @@
             bytes: config.bytes,
             bytes_per_s: config.bytes_per_s,
             probe: config.probe,
-            kept,
+            kept: kept.flatten(),
             durable: folder.is_some(),
         };
         let (heard, mut inbox) = mpsc::channel(INBOX);
@@ -325,7 +320,6 @@
             fleet: Fleet::new(settings, config.list.clone(), clock.now()),
             links: Links::new(config.links / 2, heard),
             clock,
-            tell,
             place,
             later: VecDeque::new(),
             unsaid: VecDeque::new(),
@@ -345,7 +339,7 @@
                 _ = tick.tick() => {
                     if talk.listens && listener.is_none() {
                         // The process before this one may hold the address for a moment.
-                        listener = listen(config.listen).ok();
+                        listener = listen::open(config.listen, false).ok();
                     }
                     talk.show(&shown);
                     Some(Event::Tick)
@@ -383,7 +377,7 @@
             }
             for (id, said) in talk.unsaid.drain(..) {
                 // The keeper ends only with the process.
-                let _ = talk.tell.send((id, said)).await;
+                let _ = tell.send((id, said)).await;
             }
         }
     }
@@ -412,7 +406,6 @@
     fleet: Fleet,
     links: Links,
     clock: Steady,
-    tell: mpsc::Sender<(RequestId, Said)>,
     place: Option<PathBuf>,
     /// What follows from what was done.
     later: VecDeque<Event>,
@@ -445,7 +438,7 @@
     }
 
     /// The other end of a link says who it is; none if that can't be.
-    fn greeted(&mut self, link: Link, hello: &oakwind_fleet::frame::Hello) -> Option<()> {
+    fn greeted(&mut self, link: Link, hello: &Hello) -> Option<()> {
         let node = NodeId::of(&hello.name);
         let newest = self.fleet.lists().newest().number();
         let known = self.fleet.lists().everyone().contains(&node)
--- a/node/src/remembered/record.rs
+++ b/node/src/remembered/record.rs
@@ -7,7 +7,7 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 
-use crate::clock::Unix;
+use crate::clock::{millis, Unix};
 use crate::fate::digest;
 
 /// Bytes before a record's key.
@@ -80,10 +80,6 @@
     }
 }
 
-fn millis(time: Unix) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// A record's head, which names its key by digest alone.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Head {
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -9,7 +9,7 @@
 
 use futures_util::FutureExt;
 use oakwind_fleet::node::Event;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpStream};
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::{mpsc, watch};
 use tokio::task::{spawn_local, LocalSet};
@@ -18,9 +18,9 @@
 use crate::backends::index::Index;
 use crate::backends::interpreter::Interpreter;
 use crate::backends::uwsgi::{self as client, Servers};
-use crate::config::{Config, Files, Fleet, Links, Told};
+use crate::config::{Config, Files, Links, Told};
 use crate::core::Core;
-use crate::exchange::{self, Exchange};
+use crate::exchange::{self, Estate, Exchange};
 use crate::fronts::guests::{Guest, Guests};
 use crate::fronts::jsonrpc;
 use crate::fronts::uwsgi::{self, Front, Ids};
@@ -28,10 +28,8 @@
 use crate::names::Names;
 use crate::operators::{self, Office};
 use crate::remembered::Remembrance;
-use crate::{clock, handover, log, membership, peers, vrrp};
+use crate::{clock, handover, listen, log, membership, peers, vrrp};
 
-/// Connections that the system may keep until they are accepted.
-const BACKLOG: u32 = 1024;
 /// Between two attempts to open a listener.
 const REBIND: Duration = Duration::from_millis(100);
 /// Descriptors kept for what is no client's connection: listeners, links, signals and the runtime's own.
@@ -43,7 +41,7 @@
 
 /// Serves until the notice to leave, then drains.
 pub fn serve(files: &Files) -> Result<(), String> {
-    let told = files.read().map_err(|e| e.to_string())?;
+    let told = files.read_for_start().map_err(|e| e.to_string())?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -53,7 +51,6 @@
 
 async fn run(files: &Files, told: Told) -> Result<(), String> {
     let Told { config, uwsgi, remembered, fleet } = told;
-    fleet.as_ref().map_or(Ok(()), Fleet::is_listed).map_err(|e| e.to_string())?;
     // Comes first: a signal that nobody hears yet would end the process.
     let (notice, hangup) = signals().map_err(|e| format!("no signals: {e}"))?;
     let place = handover::place(config.listen);
@@ -97,11 +94,14 @@
         spawn_local(call(servers, exchange.clone(), backends.calls, each));
     }
     let mut core = Core::new(core, config.settings.clone(), config.seed, config.memory / RESULTS);
-    let (mut folder, mut recovered) = (None, None);
+    let (mut folder, mut left) = (None, None);
     if let Some(remembered) = remembered {
         let mut remembrance = Remembrance::closed(remembered, config.longest());
         // The process before has the folder until it has handed over.
-        recovered = if upgrade { None } else { Some(remembrance.open()?) };
+        if !upgrade {
+            let recovered = remembrance.open()?;
+            left = Some(Estate { seed: recovered.seed, keys: recovered.keys });
+        }
         folder = Some(remembrance);
     }
     let (mut peers, mut lists) = (None, None);
@@ -111,9 +111,7 @@
         peers = Some(asked);
         spawn_local(driver.run());
     }
-    if folder.is_some() || peers.is_some() {
-        core.keep(Keeper::new(folder, peers), recovered);
-    }
+    core.keep(Keeper::new(folder, peers), left);
     spawn_local(core.run());
     let front = {
         let (exchange, names) = (exchange.clone(), names.clone());
@@ -285,16 +283,9 @@
     }
 }
 
-/// Opens a listener; `shared` if a next process may open it too while this one serves.
+/// Opens a listener; the error names the key.
 fn bind(key: &str, address: SocketAddr, shared: bool) -> Result<TcpListener, String> {
-    let open = || {
-        let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
-        socket.set_reuseaddr(true)?;
-        socket.set_reuseport(shared)?;
-        socket.bind(address)?;
-        socket.listen(BACKLOG)
-    };
-    open().map_err(|e: io::Error| format!("{key}: {address}: {e}"))
+    listen::open(address, shared).map_err(|e| format!("{key}: {address}: {e}"))
 }
 
 /// Where a listener listens, with the port that the system chose for 0.
