Read requests in the rig one a core at a time, and let a node have them only then

Seen: seven in ten killed at load 0.7 with front ends that retry without limit: from 18 s on 8,300 tries a second, all refused within 10 ms, 0 to 2 runs in 20 s. A probe in the decisions showed up to 12,500 processes that wanted two cores: the rig's interpreter took a try's reading as one more process beside the runs and handed the try on at once.

Checked and ruled out: connections (4 a second), the tier below, a hang (half of the nodes never said so). At load 1.0 the scenario collapsed without any fault; without work for reading it did not.

Cause: rig/src/model/vm.rs (`chore`) and stand/fronts.rs (`send`).

Change: chores queue, one a core is on it, a try is written to the node when it was read, and its time counts from when it came. The prediction does the same.

--- a/rig/src/model/vm.rs
+++ b/rig/src/model/vm.rs
@@ -9,6 +9,8 @@
 
 /// The crowd that kills is a mean over so long.
 const OVERLOAD_FOR: Ms = 2000.0;
+/// Chores that may wait, for each core; while there are more, nobody gets a connection.
+const BACKLOG: f64 = 128.0;
 /// How busy the cores are is a mean over so long.
 const BUSY_OVER: Ms = 500.0;
 /// A request counts against the memory so long after it was written, or from its run.
@@ -117,9 +119,19 @@
 const RUNS: usize = 0;
 const BUSY: usize = 1;
 
+/// Work beside the runs: reading a request, or a new connection.
+#[derive(Debug, Clone, Copy)]
+struct Chore {
+    left: Ms,
+    /// The request that is read.
+    reads: Option<u64>,
+}
+
 /// What has happened.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Happened {
+    /// A request was read.
+    Read(u64),
     /// A run is over.
     Done(u64),
     /// A run was stopped, or came to a call when its request was over.
@@ -141,8 +153,8 @@
     still: bool,
     at: Ms,
     runs: BTreeMap<u64, Run>,
-    /// Reading and connecting, which take the cores as well.
-    chores: Vec<Ms>,
+    /// Reading and connecting, which share the cores with the runs: one a core at a time, the others wait.
+    chores: VecDeque<Chore>,
     held: BTreeMap<u64, Held>,
     /// How many were on the cores, and how much of the cores was busy, from when on.
     crowd: VecDeque<Reading>,
@@ -159,7 +171,7 @@
             still: false,
             at: now,
             runs: BTreeMap::new(),
-            chores: Vec::new(),
+            chores: VecDeque::new(),
             held: BTreeMap::new(),
             crowd: VecDeque::from([Reading { at: now, values: [0.0; 2], sums: [0.0; 2] }]),
             fallen: false,
@@ -214,16 +226,45 @@
         happened
     }
 
-    /// Work for reading a request or for a new connection.
-    pub fn chore(&mut self, now: Ms, work: Ms) -> Vec<Happened> {
-        let happened = self.advance(now);
-        if work > 0.0 {
-            self.chores.push(work);
+    /// A request has come and is to be read, which takes so much work; it is not known before.
+    pub fn read(&mut self, now: Ms, txn: u64, work: Ms) -> Vec<Happened> {
+        self.chore(now, Chore { left: work, reads: Some(txn) })
+    }
+
+    /// A new connection takes so much work.
+    pub fn connect(&mut self, now: Ms, work: Ms) -> Vec<Happened> {
+        self.chore(now, Chore { left: work, reads: None })
+    }
+
+    fn chore(&mut self, now: Ms, chore: Chore) -> Vec<Happened> {
+        let mut happened = self.advance(now);
+        if chore.left > 0.0 {
+            self.chores.push_back(chore);
             self.count();
+        } else {
+            happened.extend(chore.reads.map(Happened::Read));
         }
         happened
     }
 
+    /// A request that may not have been read yet is not to be read any more.
+    pub fn unread(&mut self, now: Ms, txn: u64) -> Vec<Happened> {
+        let happened = self.advance(now);
+        self.chores.retain(|chore| chore.reads != Some(txn));
+        self.count();
+        happened
+    }
+
+    /// Whether so much lies unread that no more connections are taken.
+    pub fn crowded(&self) -> bool {
+        self.chores.len() as f64 > BACKLOG * self.make.cores
+    }
+
+    /// Chores that are on the cores.
+    fn busy_chores(&self) -> usize {
+        self.chores.len().min(self.make.cores.ceil() as usize)
+    }
+
     /// Pauses a run; one whose request is over ends.
     pub fn pause(&mut self, now: Ms, txn: u64) -> Vec<Happened> {
         let mut happened = self.advance(now);
@@ -279,7 +320,8 @@
         }
         let rate = self.rate();
         let runs = self.runs.values().filter(|run| run.stage == Stage::Running);
-        let lefts = runs.map(|run| run.left - run.call_at.unwrap_or(0.0)).chain(self.chores.iter().copied());
+        let chores = self.chores.iter().take(self.busy_chores()).map(|chore| chore.left);
+        let lefts = runs.map(|run| run.left - run.call_at.unwrap_or(0.0)).chain(chores);
         let least = lefts.fold(f64::INFINITY, f64::min);
         if !least.is_finite() || rate <= 0.0 {
             return None;
@@ -309,8 +351,11 @@
         let done = (until - self.at) * self.rate_at(half);
         self.at = until;
         let before = self.on_cores();
-        self.chores.iter_mut().for_each(|left| *left -= done);
-        self.chores.retain(|left| *left > MOMENT);
+        let busy = self.busy_chores();
+        self.chores.iter_mut().take(busy).for_each(|chore| chore.left -= done);
+        let over = self.chores.iter().filter(|chore| chore.left <= MOMENT);
+        happened.extend(over.filter_map(|chore| chore.reads).map(Happened::Read));
+        self.chores.retain(|chore| chore.left > MOMENT);
         let mut ended = Vec::new();
         for (txn, run) in self.runs.iter_mut().filter(|(_, run)| run.stage == Stage::Running) {
             run.left -= done;
@@ -340,7 +385,7 @@
     }
 
     fn on_cores(&self) -> usize {
-        self.runs.values().filter(|run| run.stage == Stage::Running).count() + self.chores.len()
+        self.runs.values().filter(|run| run.stage == Stage::Running).count() + self.busy_chores()
     }
 
     /// What each on the cores gets done in a millisecond.
@@ -447,6 +492,23 @@
         assert!((end - at - 600.0).abs() < 1e-3, "{}", end - at);
     }
 
+    #[test]
+    fn requests_are_read_one_a_core_at_a_time_beside_the_runs() {
+        let mut vm = Vm::new(make(), 0.0, false);
+        (1..=4).for_each(|txn| drop(vm.read(0.0, txn, 10.0)));
+        assert_eq!(vm.gauges(0.0)[1], 2.0, "two wait unread");
+        assert!(vm.unread(5.0, 3).is_empty());
+        assert_eq!(next(&mut vm), (10.0, vec![Happened::Read(1), Happened::Read(2)]));
+        vm.hold(10.0, 1, 1.0);
+        vm.run(10.0, work(1, 100.0));
+        let (at, read) = next(&mut vm);
+        assert!((at - 20.0).abs() < 1e-3 && read == [Happened::Read(4)], "{at}");
+        assert!((next(&mut vm).0 - 110.0).abs() < 1e-3);
+        assert_eq!(vm.read(200.0, 9, 0.0), [Happened::Read(9)]);
+        (0..300).for_each(|txn| drop(vm.read(200.0, txn, 10.0)));
+        assert!(vm.crowded());
+    }
+
     #[test]
     fn a_cold_one_does_what_its_warmth_allows() {
         let mut vm = Vm::new(make(), 0.0, true);
--- a/rig/src/predict.rs
+++ b/rig/src/predict.rs
@@ -80,6 +80,7 @@
     node: usize,
     due: Ms,
     open: bool,
+    read: bool,
 }
 
 struct Traveller {
@@ -193,11 +194,17 @@
         match due {
             Due::Ask(n) => self.ask(n),
             Due::Go(n) => self.step(n, |journey, now, front, listed| journey.go(now, front, listed)),
-            Due::Overdue(txn) => {
-                if self.tries.get(&txn).is_some_and(|taken| taken.open) {
-                    self.answer(txn, Kind::Failed, Answer::Failed);
+            Due::Overdue(txn) => match self.tries.get_mut(&txn).filter(|taken| taken.open) {
+                Some(taken) if taken.read => self.answer(txn, Kind::Failed, Answer::Failed),
+                Some(taken) => {
+                    taken.open = false;
+                    let (n, node) = (taken.n, taken.node);
+                    let happened = self.nodes[node].vm.unread(self.now, txn);
+                    self.answered(n, node, Answer::Silent);
+                    self.tell(node, happened);
                 }
-            }
+                None => {}
+            },
             Due::Strike(i, begins) => self.strike(i, begins),
             Due::Back(node) => self.back(node),
             Due::Report => {
@@ -235,7 +242,7 @@
             Step::Try(node) => {
                 traveller.tries += 1;
                 self.went.entry(n).or_insert(node);
-                self.arrive(n, node, front);
+                self.arrive(n, node);
             }
             Step::Wait(until) => self.at(until, Due::Go(n)),
             Step::Over(end) => {
@@ -251,23 +258,32 @@
     }
 
     /// A try comes to a node.
-    fn arrive(&mut self, n: usize, node: usize, front: usize) {
+    fn arrive(&mut self, n: usize, node: usize) {
         if !self.nodes[node].up {
             return self.answered(n, node, Answer::Gone);
         }
         let txn = self.next;
         self.next += 1;
         let ask = &self.plan.asks[n];
-        let (class, key, kb) = (&self.scenario.classes[ask.class], ask.repeats.unwrap_or(n), ask.kb);
-        let due = ask.at + class.deadline_ms as f64;
-        let keyed = class.keyed;
-        self.note(Event::Wrote { txn, n, node, front, due });
-        self.tries.insert(txn, Try { n, node, due, open: true });
+        let due = ask.at + self.scenario.classes[ask.class].deadline_ms as f64;
+        self.tries.insert(txn, Try { n, node, due, open: true, read: false });
         self.at(due, Due::Overdue(txn));
+        let happened = self.nodes[node].vm.read(self.now, txn, self.scenario.fleet.read_ms);
+        self.tell(node, happened);
+    }
+
+    /// A try was read.
+    fn read(&mut self, txn: u64) {
+        let Some(taken) = self.tries.get_mut(&txn).filter(|taken| taken.open) else { return };
+        taken.read = true;
+        let (n, node, due) = (taken.n, taken.node, taken.due);
+        let ask = &self.plan.asks[n];
+        let (key, kb, front) = (ask.repeats.unwrap_or(n), ask.kb, ask.front);
+        let keyed = self.scenario.classes[ask.class].keyed;
+        self.note(Event::Wrote { txn, n, node, front, due });
         let cores = self.scenario.fleet.cores as usize;
         let place = &mut self.nodes[node];
         place.vm.hold(self.now, txn, kb);
-        let happened = place.vm.chore(self.now, self.scenario.fleet.read_ms);
         let known = keyed.then(|| place.keys.get(&key).cloned()).flatten();
         match known {
             Some(Key::Done(result)) => {
@@ -290,7 +306,6 @@
                 place.line.push_back(txn);
             }
         }
-        self.tell(node, happened);
         self.start(node);
     }
 
@@ -312,6 +327,7 @@
     fn tell(&mut self, node: usize, happened: Vec<Happened>) {
         for what in happened {
             match what {
+                Happened::Read(txn) => self.read(txn),
                 Happened::Done(txn) => self.ended(node, txn, Some(format!("job {txn:016x}"))),
                 Happened::Aborted(txn) => self.ended(node, txn, None),
                 Happened::AtCall(txn) => self.call(node, txn),
--- a/rig/src/stand/fronts.rs
+++ b/rig/src/stand/fronts.rs
@@ -57,6 +57,8 @@
     /// The tries that were answered here, to tell a second answer.
     answered: RefCell<HashMap<u64, u64>>,
     next: Cell<u64>,
+    /// Requests on it that are still to be read.
+    unread: Cell<usize>,
     used: Cell<Ms>,
     /// Nothing new is to be sent here.
     leaving: Cell<bool>,
@@ -168,16 +170,34 @@
         let id = connection.next.replace(connection.next.get() + 1);
         let ask = &world.plan.asks[n];
         let class = &world.scenario.classes[ask.class];
+        let (came, interpreter) = (world.now(), &self.doors[node].interpreter);
+        if world.scenario.fleet.read_ms > 0.0 {
+            connection.unread.set(connection.unread.get() + 1);
+            let read = tokio::select! {
+                biased;
+                read = interpreter.reads(txn) => Some(read.is_ok()),
+                () = world.clock.until(due) => None,
+            };
+            connection.unread.set(connection.unread.get() - 1);
+            match read {
+                Some(true) => {}
+                Some(false) => return Some(Answer::Gone),
+                None => {
+                    interpreter.unread(txn);
+                    return Some(Answer::Silent);
+                }
+            }
+        }
         let now = world.now();
         let key = class.keyed.then(|| format!("{:032x}", ask.repeats.unwrap_or(n)));
         let line = wire::Request {
             id,
             txn: &format!("{txn:016x}"),
             class: &class.name,
-            door: world.clock.unix_ms(now),
+            door: world.clock.unix_ms(came),
             front: self.number,
             team: &ask.tenant,
-            limit: (due - now).max(1.0) as u64,
+            limit: (due - came).max(1.0) as u64,
             cpu: ask.hint.max(0.01),
             ram: ask.kb,
             key: key.as_deref(),
@@ -191,7 +211,7 @@
         connection.open.borrow_mut().insert(id, Open { txn, wrote: now, alone, give: Some(give) });
         world.writes(txn, Written { n, node });
         world.note(Event::Wrote { txn, n, node, front: self.number, due });
-        self.doors[node].interpreter.holds(txn, ask.kb);
+        interpreter.holds(txn, ask.kb);
         world.happened(node, Happening::Written);
         // Where the connection has ended meanwhile, its end answers.
         let _ = out.send(line).await;
@@ -201,7 +221,7 @@
             answer = &mut answer => answer.ok(),
             () = world.clock.until(listens) => {
                 world.note(Event::Withdrew { txn });
-                self.doors[node].interpreter.over(txn);
+                interpreter.over(txn);
                 if let Some(open) = connection.open.borrow_mut().get_mut(&id) {
                     open.give = None;
                 }
@@ -214,11 +234,16 @@
 
     /// A connection with room, new if there is none.
     async fn connection(&self, node: usize) -> std::io::Result<Rc<Connection>> {
-        let fits = |c: &&Rc<Connection>| c.node == node && !c.leaving.get() && c.open.borrow().len() < OPEN;
+        let fits = |c: &&Rc<Connection>| {
+            c.node == node && !c.leaving.get() && c.open.borrow().len() + c.unread.get() < OPEN
+        };
         if let Some(kept) = self.connections.borrow().iter().rfind(fits) {
             return Ok(kept.clone());
         }
         let door = &self.doors[node];
+        if door.interpreter.crowded() {
+            return Err(std::io::ErrorKind::ConnectionRefused.into());
+        }
         let address = (*door.address.borrow()).ok_or(std::io::ErrorKind::ConnectionRefused)?;
         let stream = door.lines[self.number].open(address).await?;
         self.world.note(Event::Connected { node, front: self.number });
@@ -230,6 +255,7 @@
             open: RefCell::default(),
             answered: RefCell::default(),
             next: Cell::new(1),
+            unread: Cell::new(0),
             used: Cell::new(self.world.now()),
             leaving: Cell::new(false),
         });
@@ -246,7 +272,7 @@
             let now = self.world.now();
             for connection in self.connections.borrow().iter() {
                 let over = connection.leaving.get() || now - connection.used.get() > idle;
-                if over && connection.open.borrow().is_empty() {
+                if over && connection.open.borrow().is_empty() && connection.unread.get() == 0 {
                     connection.leaving.set(true);
                     connection.out.borrow_mut().take();
                 }
--- a/rig/src/stand/interpreter.rs
+++ b/rig/src/stand/interpreter.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use tokio::io::{AsyncWriteExt, BufReader, DuplexStream};
-use tokio::sync::{mpsc, watch, Notify};
+use tokio::sync::{mpsc, oneshot, watch, Notify};
 
 use super::{command, txn};
 use crate::history::Event;
@@ -33,6 +33,8 @@
     replies: HashMap<u64, String>,
     /// Runs that go on without their call.
     poorer: HashSet<u64>,
+    /// Requests that are still to be read.
+    unread: HashMap<u64, oneshot::Sender<()>>,
     up: bool,
 }
 
@@ -48,6 +50,7 @@
             began: HashMap::new(),
             replies: HashMap::new(),
             poorer: HashSet::new(),
+            unread: HashMap::new(),
             up: true,
         }
     }
@@ -92,6 +95,7 @@
         {
             let mut state = self.state.borrow_mut();
             state.up = false;
+            state.unread.clear();
             state.vm = Interpreter::make(&self.world, self.node, true);
         }
         self.link.send_modify(|link| *link += 1);
@@ -133,19 +137,39 @@
         });
     }
 
-    /// A request was written to the node; reading it takes the cores.
+    /// A request has come to the node's machine: reading it takes the cores, and the node has it only then. What is
+    /// returned tells when; it never does if the machine ends before.
+    pub fn reads(&self, id: u64) -> oneshot::Receiver<()> {
+        let (tell, read) = oneshot::channel();
+        let work = self.world.scenario.fleet.read_ms;
+        self.state.borrow_mut().unread.insert(id, tell);
+        self.change(|vm, now| vm.read(now, id, work));
+        read
+    }
+
+    /// Nobody waits any more for a request that is still to be read.
+    pub fn unread(&self, id: u64) {
+        self.state.borrow_mut().unread.remove(&id);
+        self.change(|vm, now| vm.unread(now, id));
+    }
+
+    /// Whether so much lies unread that no more connections are taken.
+    pub fn crowded(&self) -> bool {
+        self.state.borrow().vm.crowded()
+    }
+
+    /// A request was written to the node.
     pub fn holds(&self, id: u64, kb: f64) {
-        let read = self.world.scenario.fleet.read_ms;
         self.change(|vm, now| {
             vm.hold(now, id, kb);
-            vm.chore(now, read)
+            Vec::new()
         });
     }
 
     /// A front end opened a connection.
     pub fn connected(&self) {
         let work = self.world.scenario.fleet.connect_ms;
-        self.change(|vm, now| vm.chore(now, work));
+        self.change(|vm, now| vm.connect(now, work));
     }
 
     /// A request is over for its caller.
@@ -190,6 +214,12 @@
     fn tell(&self, happened: Vec<Happened>) {
         for what in happened {
             match what {
+                Happened::Read(id) => {
+                    if let Some(tell) = self.state.borrow_mut().unread.remove(&id) {
+                        // Its front end may have given up.
+                        let _ = tell.send(());
+                    }
+                }
                 Happened::Done(id) => {
                     let result = {
                         let state = self.state.borrow();
