Try what has nothing before it, and forget the permitted rate after a long standstill

Need: nothing that is out of date may be acted on after an outage.

It expected runs of 0.26 s and 0.57 s where quick ones take 0.07 and 0.11, by which every arrival was hopeless; so nothing ran, and nothing corrected what it expected.

Cause: `drop_hopeless` judged a request by the expected time of its own run alone. And `tick` kept a permitted rate and a keep-away signal from before a standstill of any length.

Change: what has nothing before it, on the cores or in the line, is not dropped for what its run is expected to take. After a standstill of 10 s (five windows; pauses of a machine are under a second) rate, signal and what arrived are found anew, as at a start.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -40,6 +40,8 @@
 const CROWDED: f64 = 1.4;
 /// Busy part of the cores below which the running bound grows while work waits.
 const IDLE: f64 = 0.92;
+/// A standstill this long makes what was learnt of the load out of date: many windows, no machine's pause.
+const STALE: f64 = 5.0 * WINDOW;
 /// Each period the keep-away signal falls by this much, or rises by ten times that part of its distance.
 const SHED_DOWN: f64 = 0.01;
 /// An admitted arrival speaks against keeping its rank away as much as this many refused speak for it.
@@ -561,6 +563,16 @@
         (self.window_began, self.handled) = (self.now, 0.0);
     }
 
+    /// What was learnt of the load is out of date: as at a start, the bucket is loose and a window seeds it.
+    fn forget_load(&mut self) {
+        (self.rate, self.tokens, self.handled, self.shed) = (None, 0.0, 0.0, 0.0);
+        (self.window_began, self.filled_at, self.arrivals_at) = (self.now, self.now, self.now);
+        (self.penalised_until, self.calls.full_until) = (0.0, 0.0);
+        self.usual = Mean::default();
+        self.recent.clear();
+        self.arrivals.iter_mut().for_each(|rate| *rate = 0.0);
+    }
+
     /// Requests a second that the cores could do, by what requests took of late.
     fn cores_rate(&self) -> f64 {
         let known: Vec<f64> = self.stats.iter().filter_map(|s| s.on_cores.get()).collect();
@@ -831,6 +843,7 @@
 
     /// Where the line would carry a request past its aim, the least worthy up to it goes. Guards against a
     /// rate that let in too much for what is left of the server, slow cores and heavy requests alike.
+    /// What has nothing before it is tried: guards against an estimate that nothing would ever correct.
     fn drop_hopeless(&mut self, out: &mut Vec<Action>) {
         let line = self.queue();
         let left = |r: &Request| {
@@ -845,6 +858,7 @@
             kept.push((id, work, value));
             ahead += work;
             while !kept.is_empty()
+                && ahead > work
                 && self.now + (ahead - work) / (self.bound + self.off_cores) + work * HEADROOM > aim_at
             {
                 let worst = (0..kept.len()).min_by(|&a, &b| kept[a].2.total_cmp(&kept[b].2));
@@ -889,6 +903,9 @@
     fn tick(&mut self, gauges: &Gauges, out: &mut Vec<Action>) {
         let now = self.now;
         self.standstill = self.standstill.max(now - self.ticked_at - PERIOD);
+        if now - self.ticked_at > STALE {
+            self.forget_load();
+        }
         self.ticked_at = now;
         self.watch(out);
         self.entries.retain(|_, until| *until > now);
--- a/tests/guards.rs
+++ b/tests/guards.rs
@@ -541,6 +541,41 @@
     assert!(!after.iter().any(|a| matches!(a, Action::Refuse { .. })), "it recovers at once");
 }
 
+#[test]
+fn a_server_that_was_slow_tries_again_though_it_expects_too_long_a_run() {
+    let class = Class { aim: ms(300), deadline: ms(1200), late_worth: 0.2, ..Class::default() };
+    let mut admission = opened(Settings { classes: vec![class], cores: 2, ..Settings::default() });
+    let mut at = 0;
+    let mut once = |id: u32, took: u64| {
+        let ran = tell(&mut admission, at, &[arrived(id), timer()]).iter().any(|action| is_run(action, id));
+        at += took;
+        let done = Event::Finished { id: RequestId(id), outcome: Outcome::Ok, took: ms(took) };
+        tell(&mut admission, at, &[done, timer()]);
+        ran
+    };
+    assert!((1..=20).all(|id| once(id, 900)), "each alone, at cores that are slow");
+    assert!((21..=60).all(|id| once(id, 50)), "and once they are quick again");
+    let line: Vec<Event> = (100..106).map(arrived).collect();
+    assert!(!tell(&mut admission, 60_000, &line).iter().any(|a| matches!(a, Action::Refuse { .. })));
+}
+
+#[test]
+fn after_a_long_standstill_the_permitted_rate_is_found_anew() {
+    let class = Class { aim: ms(200), deadline: ms(1000), ..Class::default() };
+    let mut admission = opened(Settings { classes: vec![class], ..Settings::default() });
+    for n in 1..=200 {
+        let done = Event::Finished { id: RequestId(n - 1), outcome: Outcome::Ok, took: ms(40) };
+        tell(&mut admission, 50 * u64::from(n), &[done, timer(), arrived(n)]);
+    }
+    let before = admission.permitted_rate();
+    tell(&mut admission, 10_000 + 9_900, &[timer()]);
+    assert!(admission.permitted_rate().is_some(), "a pause");
+    tell(&mut admission, 10_000 + 30_000, &[timer()]);
+    assert!(before.is_some() && admission.permitted_rate().is_none());
+    let first = tell(&mut admission, 10_000 + 30_050, &[arrived(1000), arrived(1001), timer()]);
+    assert!(!first.iter().any(|action| matches!(action, Action::Refuse { .. })), "as at a start: {first:?}");
+}
+
 #[test]
 fn settings_that_make_no_sense_and_a_jumping_clock_leave_nothing_unanswered() {
     let zero = Duration::ZERO;
