--- a/fleet/src/copies.rs
+++ b/fleet/src/copies.rs
@@ -191,6 +191,15 @@
         })
     }
 
+    /// How long it takes at the most until nothing that was lost matters any more; none if nothing was.
+    pub fn waits(&self, now: Time, lists: &Lists) -> Option<Duration> {
+        let window = lists.about().iter().map(|list| list.window()).max().unwrap_or_default();
+        match &self.soundness {
+            Soundness::Whole => None,
+            Soundness::Since(since, _) => Some((*since + window + READ_LATE).saturating_sub(now)),
+        }
+    }
+
     /// Time passes: what has run out goes, and after a window nothing that was lost matters any more; whether that is so
     /// from now on.
     pub fn tick(&mut self, now: Time, lists: &Lists) -> bool {
@@ -203,9 +212,7 @@
                 self.bytes -= entry.bytes(&key);
             }
         }
-        let window = lists.about().iter().map(|list| list.window()).max().unwrap_or_default();
-        let over =
-            matches!(&self.soundness, Soundness::Since(since, _) if now >= *since + window + READ_LATE);
+        let over = self.waits(now, lists).is_some_and(|left| left.is_zero());
         if over {
             self.soundness = Soundness::Whole;
         }
@@ -381,8 +388,16 @@
         outcome
     }
 
-    /// A part of the table, of what a node holds copies of, the newest windows first.
-    pub fn page(&self, now: Time, of: NodeId, round: u32, from: Option<&Position>, lists: &Lists) -> Page {
+    /// A part of the table, of what a node holds copies of, the newest windows first, and how many entries were looked at
+    /// for it.
+    pub fn page(
+        &self,
+        now: Time,
+        of: NodeId,
+        round: u32,
+        from: Option<&Position>,
+        lists: &Lists,
+    ) -> (Page, usize) {
         // Where it was in another life of this table means nothing.
         let from = from.filter(|from| from.life == self.life);
         let end = from.map(|from| (Duration::from_nanos(from.until_ns), from.key.clone()));
@@ -406,8 +421,9 @@
             records.push(record);
         }
         let whole = bytes <= PAGE_BYTES && next.as_ref().is_none_or(|(looked, _)| looked + 1 < PAGE_LOOKS);
+        let looks = next.as_ref().map_or(0, |(looked, _)| looked + 1);
         let next = next.filter(|_| !whole).map(|(_, position)| position);
-        Page { round, records, next, sound: self.sound(lists) }
+        (Page { round, records, next, sound: self.sound(lists) }, looks)
     }
 
     /// Takes in what a donor knows; false if there was no room for all of it. Returns conflicts, if any.
@@ -623,7 +639,7 @@
         }
         let (mut from, mut pages, mut newest) = (None, 0, String::new());
         loop {
-            let page = copies.page(at(2000), id(2), 1, from.as_ref(), &lists);
+            let (page, _) = copies.page(at(2000), id(2), 1, from.as_ref(), &lists);
             if pages == 0 {
                 newest = String::from_utf8(page.records[0].key.to_vec()).unwrap();
             }
@@ -638,8 +654,8 @@
         assert_eq!((copies_of_2.size().0, newest.as_str()), (2000, "1999"));
         assert!(pages > 3);
         let stale = Position { life: 1, until_ns: 0, key: Bytes::new() };
-        assert!(!copies.page(at(2000), id(2), 1, Some(&stale), &lists).records.is_empty());
-        assert!(copies.page(at(2000), id(9), 1, None, &lists).records.is_empty(), "it holds no copies");
+        assert!(!copies.page(at(2000), id(2), 1, Some(&stale), &lists).0.records.is_empty());
+        assert!(copies.page(at(2000), id(9), 1, None, &lists).0.records.is_empty(), "it holds no copies");
     }
 
     #[test]
--- a/fleet/src/frame.rs
+++ b/fleet/src/frame.rs
@@ -5,10 +5,11 @@
 use serde::{Deserialize, Serialize};
 
 use crate::list::{NodeId, Plain};
+use crate::marks::Mark;
 use crate::record::{Body, ClaimId, End, Key};
 
 /// Kinds of frames that this build knows; later ones have higher numbers.
-pub const KINDS: u32 = 20;
+pub const KINDS: u32 = 22;
 
 /// Who a node is, and what it goes by.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -25,6 +26,10 @@
     pub over: u64,
     /// The link before this one was cut, and what was on it is lost.
     pub cut: bool,
+    /// How long this life has lasted.
+    pub seconds: u64,
+    /// Where what it goes on from ends: what it kept of an earlier life, if it did.
+    pub kept: Option<Mark>,
 }
 
 /// A claim as a copy is asked for it.
@@ -117,6 +122,13 @@
     pub key: Key,
 }
 
+impl Position {
+    /// Behind everything in the table of this life of a donor.
+    pub fn end(life: u64) -> Position {
+        Position { life, until_ns: 0, key: Key::new() }
+    }
+}
+
 /// What a donor knows of one key.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Copied {
@@ -173,6 +185,8 @@
     Ping {
         /// Which one.
         seq: u64,
+        /// How long the sender's life has lasted, in seconds.
+        seconds: u64,
         /// Word of others.
         rumors: Vec<Rumor>,
     },
@@ -180,6 +194,8 @@
     Ack {
         /// The ping's.
         seq: u64,
+        /// How long the sender's life has lasted, in seconds.
+        seconds: u64,
         /// Word of others.
         rumors: Vec<Rumor>,
     },
@@ -273,6 +289,18 @@
     },
     /// A part of the table.
     Page(Page),
+    /// There is no part of the table to be had now.
+    Away {
+        /// The round that it was asked in.
+        round: u32,
+        /// Come back after so many milliseconds.
+        after_ms: u64,
+    },
+    /// What the one that spoke has kept is not the last that was known of it.
+    Outdated {
+        /// What was.
+        known: Mark,
+    },
 }
 
 impl Frame {
@@ -290,6 +318,8 @@
                 | Frame::Kept { .. }
                 | Frame::Free { .. }
                 | Frame::Page(_)
+                | Frame::Away { .. }
+                | Frame::Outdated { .. }
         )
     }
 }
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -1,6 +1,8 @@
 //! What a fleet of nodes decides together, so that a keyed request runs once among all of them: who holds copies of a
 //! key ([`list`], [`lists`]), what a copy answers ([`copies`], [`record`]), whether a run may begin and when its result is
-//! safe ([`claims`]), who is heard ([`members`]), and what a node that comes back has to learn ([`catchup`]).
+//! safe ([`claims`]), who is heard ([`members`]), whether what a node kept is the last that was known of it ([`marks`]), and
+//! what it has to learn when it comes back ([`catchup`]),
+//! in which stages that is ([`way`]).
 //! [`node`] puts them together.
 //!
 //! There is no clock, socket, thread or random source here: time and events come in, actions go out, and random numbers
@@ -14,9 +16,11 @@
 pub mod frame;
 pub mod list;
 pub mod lists;
+pub mod marks;
 pub mod members;
 pub mod node;
 pub mod record;
+pub mod way;
 
 use std::time::Duration;
 
--- a/fleet/src/members.rs
+++ b/fleet/src/members.rs
@@ -88,6 +88,8 @@
     passed: VecDeque<(u64, u64, Link, NodeId)>,
     /// Answers to pings before this one may be from before a sleep.
     awake_from: u64,
+    /// How long this life has lasted, as probes tell it.
+    seconds: u64,
     heard: BTreeSet<NodeId>,
     to_greet: Vec<NodeId>,
     greeted_at: Time,
@@ -110,6 +112,7 @@
             seq: 1,
             passed: VecDeque::new(),
             awake_from: 1,
+            seconds: 0,
             heard: BTreeSet::new(),
             to_greet: Vec::new(),
             greeted_at: Time::ZERO,
@@ -131,6 +134,11 @@
         self.heard.retain(|node| nodes.contains(node));
     }
 
+    /// This node's life has lasted so long.
+    pub fn lasts(&mut self, seconds: u64) {
+        self.seconds = seconds;
+    }
+
     /// This node's life has another number.
     pub fn lives_as(&mut self, life: u64) {
         self.age = (life, 0);
@@ -181,12 +189,12 @@
     /// Takes in what a member says of others; returns what it is answered.
     pub fn told(&mut self, now: Time, link: Link, from: NodeId, frame: Frame, out: &mut Vec<Say>) {
         match frame {
-            Frame::Ping { seq, rumors } => {
+            Frame::Ping { seq, rumors, .. } => {
                 self.learn(now, rumors);
                 let rumors = self.word();
-                out.push(Say::On(link, Frame::Ack { seq, rumors }));
+                out.push(Say::On(link, Frame::Ack { seq, seconds: self.seconds, rumors }));
             }
-            Frame::Ack { seq, rumors } => {
+            Frame::Ack { seq, rumors, .. } => {
                 self.learn(now, rumors);
                 if seq >= self.awake_from {
                     self.heard.insert(from);
@@ -205,7 +213,7 @@
                     self.passed.pop_front();
                 }
                 let rumors = self.word();
-                out.push(Say::To(target, Frame::Ping { seq: ours, rumors }));
+                out.push(Say::To(target, Frame::Ping { seq: ours, seconds: self.seconds, rumors }));
             }
             Frame::AckFor { seq, target } => {
                 if self.probe.as_ref().is_some_and(|probe| probe.seq == seq) {
@@ -270,7 +278,7 @@
             let seq = self.next_seq();
             self.probe = Some(Probe { target, seq, sent: now, helped: false });
             let rumors = self.word();
-            out.push(Say::To(target, Frame::Ping { seq, rumors }));
+            out.push(Say::To(target, Frame::Ping { seq, seconds: self.seconds, rumors }));
         }
     }
 
@@ -285,7 +293,7 @@
             let Some(node) = self.to_greet.pop() else { break };
             self.greeted_at = now;
             let seq = self.next_seq();
-            out.push(Say::To(node, Frame::Ping { seq, rumors: Vec::new() }));
+            out.push(Say::To(node, Frame::Ping { seq, seconds: self.seconds, rumors: Vec::new() }));
         }
     }
 
@@ -394,7 +402,13 @@
         members.tick(at(0), false, &mut out);
         let greeted: BTreeSet<NodeId> = pings(&out).into_iter().collect();
         assert_eq!(greeted, [2, 3, 4].map(id).into());
-        members.told(at(1), 1, id(2), Frame::Ack { seq: seq_to(&out, id(2)), rumors: vec![] }, &mut out);
+        members.told(
+            at(1),
+            1,
+            id(2),
+            Frame::Ack { seq: seq_to(&out, id(2)), seconds: 0, rumors: vec![] },
+            &mut out,
+        );
         assert_eq!(*members.heard(), [id(2)].into());
         out.clear();
         members.tick(at(600), false, &mut out);
@@ -407,11 +421,17 @@
         members.tick(at(0), false, &mut out);
         let old = seq_to(&out, id(2));
         members.woke();
-        members.told(at(1), 1, id(2), Frame::Ack { seq: old, rumors: vec![] }, &mut out);
+        members.told(at(1), 1, id(2), Frame::Ack { seq: old, seconds: 0, rumors: vec![] }, &mut out);
         assert!(members.heard().is_empty());
         out.clear();
         members.tick(at(2), false, &mut out);
-        members.told(at(3), 1, id(2), Frame::Ack { seq: seq_to(&out, id(2)), rumors: vec![] }, &mut out);
+        members.told(
+            at(3),
+            1,
+            id(2),
+            Frame::Ack { seq: seq_to(&out, id(2)), seconds: 0, rumors: vec![] },
+            &mut out,
+        );
         assert_eq!(*members.heard(), [id(2)].into());
     }
 
@@ -465,7 +485,7 @@
         let (mut members, mut out) = (members(1, 4), Vec::new());
         members.told(at(0), 77, id(2), Frame::PingFor { seq: 5, target: id(3) }, &mut out);
         let seq = seq_to(&out, id(3));
-        members.told(at(1), 78, id(3), Frame::Ack { seq, rumors: vec![] }, &mut out);
+        members.told(at(1), 78, id(3), Frame::Ack { seq, seconds: 0, rumors: vec![] }, &mut out);
         assert!(out.contains(&Say::On(77, Frame::AckFor { seq: 5, target: id(3) })));
         out.clear();
         members.told(at(0), 77, id(2), Frame::PingFor { seq: 5, target: id(9) }, &mut out);
@@ -477,12 +497,18 @@
         let (mut members, mut out) = (members(1, 4), Vec::new());
         let rumor = |node, age, standing| Rumor { node: id(node), age, standing };
         let suspect = rumor(1, (1, 0), Standing::Suspect);
-        members.told(at(0), 1, id(2), Frame::Ping { seq: 1, rumors: vec![suspect] }, &mut out);
+        members.told(at(0), 1, id(2), Frame::Ping { seq: 1, seconds: 0, rumors: vec![suspect] }, &mut out);
         let said = rumor(1, (1, 1), Standing::Alive);
-        assert_eq!(out, [Say::On(1, Frame::Ack { seq: 1, rumors: vec![said] })]);
+        assert_eq!(out, [Say::On(1, Frame::Ack { seq: 1, seconds: 0, rumors: vec![said] })]);
         let mut other = self::members(2, 4);
         let hears = |other: &mut Members, rumor| {
-            other.told(at(0), 1, id(3), Frame::Ping { seq: 1, rumors: vec![rumor] }, &mut Vec::new());
+            other.told(
+                at(0),
+                1,
+                id(3),
+                Frame::Ping { seq: 1, seconds: 0, rumors: vec![rumor] },
+                &mut Vec::new(),
+            );
             other.standing(id(1))
         };
         other.speaks(id(1), 1);
--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -6,14 +6,16 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crate::catchup::{weight, Catchup, Donor};
+use crate::catchup::{Catchup, Donor};
 use crate::claims::{Claims, Do, Said, Token, Wanted};
-use crate::copies::{Change, Copies, Link, Outcome};
+use crate::copies::{millis, Change, Copies, Link, Outcome};
 use crate::frame::{Copied, Frame, Hello, Page, Standing, Why};
 use crate::list::{List, NodeId};
 use crate::lists::{Lists, Offer};
+use crate::marks::{Mark, Marks};
 use crate::members::{Counts, Members, Say};
 use crate::record::{ClaimId, End, Fate, Key};
+use crate::way::{Allows, Seen, Stage, Step, Way};
 use crate::Time;
 
 /// The link of a node with itself.
@@ -38,12 +40,21 @@
     pub bytes_per_s: u64,
     /// Between two probes.
     pub probe: Duration,
-    /// What it wrote down in its last life, with its votes; none if that is lost or was never kept.
-    pub kept: Option<Vec<(Option<ClaimId>, Copied)>>,
+    /// What it wrote down in its last life; none if that is lost or was never kept.
+    pub kept: Option<Kept>,
     /// Whether changes are written down before they are told.
     pub durable: bool,
 }
 
+/// What a node wrote down in its last life.
+#[derive(Debug, Clone)]
+pub struct Kept {
+    /// What it knew, with its votes.
+    pub records: Vec<(Option<ClaimId>, Copied)>,
+    /// Where that ends.
+    pub until: Mark,
+}
+
 /// What happens to a node.
 #[derive(Debug, Clone)]
 pub enum Event {
@@ -78,6 +89,8 @@
     Resume(u64),
     /// Whether a process before this one may still run what it began.
     Beside(bool),
+    /// Something runs requests here, on cores that are warm from then on.
+    Cores(Option<Time>),
     /// Time passes.
     Tick,
 }
@@ -95,6 +108,8 @@
     Store(u64, Change, Option<ClaimId>),
     /// What this node is, or goes by, has changed: greet those again that have a link.
     Greet,
+    /// What it is allowed has changed.
+    Allow(Allows),
     /// Something that operators may want to know.
     Note(Note),
 }
@@ -110,6 +125,8 @@
     Sound(usize),
     /// Another process has its name, in this life.
     Superseded(u64),
+    /// What it kept is not the last that was known of it, and counts as lost: where that ends, and the last.
+    Outdated(Mark, Mark),
     /// A list is taken.
     Took(u64),
     /// A list is turned down.
@@ -124,6 +141,10 @@
     Conflict(End, End),
     /// Not all that a donor holds has room here.
     NoRoom(NodeId),
+    /// It came to another stage of its way back.
+    Stage(Step),
+    /// What it does not know may have run: it can vote for every key once it has caught up, and at the latest after this.
+    Waits(Duration),
 }
 
 impl fmt::Display for Note {
@@ -141,6 +162,12 @@
             Note::Superseded(life) => {
                 write!(f, "another process has this name (life {life}), nothing that has a key runs here")
             }
+            Note::Outdated(kept, known) => write!(
+                f,
+                "what it kept ends at life {}, second {}, and others know of life {}, second {}: an old copy, which counts \
+                 as lost",
+                kept.life, kept.seconds, known.life, known.seconds
+            ),
             Note::Took(number) => write!(f, "list {number} is taken"),
             Note::TurnedDown(reason) => write!(f, "list not taken: {reason}"),
             Note::Learnt(number) => write!(f, "a peer goes by list {number}, which counts too"),
@@ -158,6 +185,13 @@
                 falls.claim.life,
                 falls.claim.number
             ),
+            Note::Stage(step) => write!(f, "{step}"),
+            Note::Waits(left) => write!(
+                f,
+                "what it granted before is lost: it votes for a key once it has caught up with its other copies, and for \
+                 all in {:.1} s, when nothing from before can come again",
+                left.as_secs_f64()
+            ),
             Note::NoRoom(node) => {
                 write!(f, "no room for all that node {:x} holds, so no vote for a window", node.0)
             }
@@ -192,6 +226,10 @@
     pub conflicts: u64,
     /// How often it stood still.
     pub slept: u64,
+    /// Nodes that were sent away when they asked for a part of the table.
+    pub sent_away: u64,
+    /// How often what it kept was an old copy.
+    pub outdated: u64,
 }
 
 /// Whether this node takes part.
@@ -217,7 +255,17 @@
     claims: Claims,
     catchup: Catchup,
     donor: Donor,
+    marks: Marks,
+    /// When this life began.
+    born: Time,
+    way: Way,
+    /// Whether something runs requests here, and on cores that are warm from when on.
+    cores: Option<Option<Time>>,
+    /// Where what it goes on from ends, if it kept anything of its last life.
+    kept: Option<Mark>,
     part: Part,
+    /// Operators were told how long it waits.
+    told_wait: bool,
     level: bool,
     /// Whether it has ever been level in this life: before that nobody relies on this life's number.
     was_level: bool,
@@ -237,7 +285,8 @@
         let Settings { name, life, seed, bytes, bytes_per_s, probe, kept, durable } = settings;
         let me = NodeId::of(&name);
         let mut copies = Copies::new(me, life, bytes, kept.is_some(), now);
-        copies.restore(now, kept.unwrap_or_default());
+        let until = kept.as_ref().map(|kept| kept.until);
+        copies.restore(now, kept.map(|kept| kept.records).unwrap_or_default());
         let lists = Lists::new(me, list);
         let mut members = Members::new(me, life, seed, probe);
         members.are(&lists.everyone());
@@ -250,9 +299,15 @@
             members,
             copies,
             claims: Claims::new(me, life),
-            catchup: Catchup::new(bytes_per_s, now),
+            catchup: Catchup::new(bytes_per_s, seed ^ me.0, now),
             donor: Donor::new(bytes_per_s, now),
+            marks: Marks::default(),
+            born: now,
+            way: Way::new(now),
+            cores: None,
+            kept: until,
             part: Part::Yes,
+            told_wait: false,
             level: false,
             was_level: false,
             beside: false,
@@ -274,7 +329,13 @@
     /// Who this node is, as it greets another.
     pub fn hello(&self, to: NodeId) -> Hello {
         let (lists, over) = (self.lists.signed(), self.lists.over());
-        Hello { name: self.name.clone(), to, life: self.life, lists, over, cut: false }
+        let (seconds, kept) = (self.mark().seconds, self.kept);
+        Hello { name: self.name.clone(), to, life: self.life, lists, over, cut: false, seconds, kept }
+    }
+
+    /// Where this node is in its lives; what it wrote down by now is to be kept with it.
+    pub fn mark(&self) -> Mark {
+        Mark { life: self.life, seconds: self.last.saturating_sub(self.born).as_secs() }
     }
 
     /// This node.
@@ -329,6 +390,7 @@
         if slept > SLEPT {
             self.woke(slept, out);
         }
+        self.members.lasts(self.mark().seconds);
         self.take(now, event, out);
         while let Some(frame) = self.own.pop_front() {
             self.heard(now, OWN, self.me, self.life, frame, out);
@@ -357,10 +419,46 @@
             }
             Event::Resume(life) => self.resume(now, life, out),
             Event::Beside(beside) => self.beside = beside,
+            Event::Cores(warm_at) => self.cores = Some(warm_at),
             Event::Tick => self.tick(now, out),
         }
     }
 
+    /// How long it takes at the most until its votes can be relied on for every key.
+    pub fn waits(&self, now: Time) -> Duration {
+        self.copies.waits(now, &self.lists).unwrap_or_default()
+    }
+
+    /// The stage of its way back.
+    pub fn stage(&self) -> Stage {
+        self.way.stage()
+    }
+
+    /// What its stage allows.
+    pub fn allows(&self) -> Allows {
+        self.way.allows()
+    }
+
+    /// Goes on with its way back, or is sent back on it.
+    fn goes(&mut self, now: Time, out: &mut Vec<Action>) {
+        let heard = |node| self.members.standing(node) == Standing::Alive;
+        let seen = Seen {
+            runs: self.cores.is_some(),
+            level: self.is_level(),
+            caught_up: self.copies.is_whole() || !self.catchup.is_owed(heard),
+            warm_at: self.cores.flatten(),
+        };
+        let before = self.way.allows();
+        while let Some(step) = self.way.tick(now, seen) {
+            out.push(Action::Note(Note::Stage(step)));
+        }
+        let allows = self.way.allows();
+        if allows != before {
+            self.donor.gives(now, allows.gives);
+            out.push(Action::Allow(allows));
+        }
+    }
+
     /// Why this node neither makes nor grants claims, if it does not.
     fn aside(&self) -> Option<Why> {
         match self.part {
@@ -439,6 +537,9 @@
         // A greeting tells of the life that its link goes by.
         let life = if let Frame::Hello(hello) = &frame { hello.life } else { life };
         if from != self.me {
+            if let Frame::Ping { seconds, .. } | Frame::Ack { seconds, .. } = &frame {
+                self.marks.heard(from, Mark { life, seconds: *seconds });
+            }
             self.copies.lives(from, life);
             self.members.speaks(from, life);
         }
@@ -510,10 +611,18 @@
                 self.with_claims(out, |claims, does| claims.answered(now, from, life, frame, does));
             }
             Frame::Pull { round, from: position } => {
-                self.donor.asked(link, from, round, position);
+                if let Some(away) = self.donor.asked(now, link, from, round, position) {
+                    self.figures.sent_away += 1;
+                    self.answer(link, Frame::Away { round, after_ms: millis(away) }, out);
+                }
                 self.give(now, out);
             }
             Frame::Page(page) => self.given(now, from, page, out),
+            Frame::Away { round, after_ms } => {
+                self.catchup.sent_away(now, from, round, Duration::from_millis(after_ms));
+                self.ask_donors(now, out);
+            }
+            Frame::Outdated { known } => self.outdated(now, known, out),
         }
     }
 
@@ -522,6 +631,10 @@
         if hello.life < known {
             self.answer(link, Frame::Superseded { life: known }, out);
         }
+        self.marks.heard(from, Mark { life: hello.life, seconds: hello.seconds });
+        if let Some(known) = hello.kept.and_then(|kept| self.marks.outdates(from, hello.life, kept)) {
+            self.answer(link, Frame::Outdated { known }, out);
+        }
         let contradicted =
             hello.lists.iter().find(|(number, digest)| self.lists.contradicted(*number, *digest));
         if let Some((number, _)) = contradicted {
@@ -583,6 +696,25 @@
         self.lives_as(life + 1, out);
     }
 
+    /// What it kept is an old copy: it knows nothing that can be relied on, and what it said in this life counts no more.
+    fn outdated(&mut self, now: Time, known: Mark, out: &mut Vec<Action>) {
+        let Some(kept) = self.kept.filter(|kept| kept.is_outdated_by(&known)) else { return };
+        self.figures.outdated += 1;
+        out.push(Action::Note(Note::Outdated(kept, known)));
+        self.begin_anew(now, self.life + 1, out);
+    }
+
+    /// It begins another life, without what it knew.
+    fn begin_anew(&mut self, now: Time, life: u64, out: &mut Vec<Action>) {
+        (self.kept, self.told_wait) = (None, false);
+        self.copies.begin_anew(life, now);
+        (self.level, self.was_level, self.born) = (false, false, now);
+        self.members.woke();
+        self.with_claims(out, |claims, does| claims.woke(does));
+        self.lives_as(life, out);
+        self.catchup.begin(&self.others());
+    }
+
     fn lives_as(&mut self, life: u64, out: &mut Vec<Action>) {
         self.life = life;
         self.copies.lives_as(life);
@@ -596,12 +728,8 @@
         if self.part != Part::Retired {
             return;
         }
-        let life = life.max(self.life + 1);
-        self.copies.begin_anew(life, now);
-        (self.part, self.level, self.was_level) = (Part::Yes, false, false);
-        self.members.woke();
-        self.lives_as(life, out);
-        self.catchup.begin(&self.others());
+        self.part = Part::Yes;
+        self.begin_anew(now, life.max(self.life + 1), out);
     }
 
     fn woke(&mut self, slept: Duration, out: &mut Vec<Action>) {
@@ -630,6 +758,7 @@
     fn relisted(&mut self, now: Time, out: &mut Vec<Action>) {
         let others = self.others();
         self.members.are(&self.lists.everyone());
+        self.marks.keep(|node| others.contains(&node));
         self.catchup.keep(&others);
         for node in others {
             if !self.copies.sound_by(node) && self.catchup.lacks(node) {
@@ -684,15 +813,15 @@
 
     fn give(&mut self, now: Time, out: &mut Vec<Action>) {
         while let Some((link, node, round, from)) = self.donor.next(now) {
-            let page = self.copies.page(now, node, round, from.as_ref(), &self.lists);
-            self.donor.gave(weight(&page));
+            let (page, looks) = self.copies.page(now, node, round, from.as_ref(), &self.lists);
+            self.donor.gave(node, &page, looks);
             self.figures.given += page.records.len() as u64;
             self.answer(link, Frame::Page(page), out);
         }
     }
 
     fn given(&mut self, now: Time, from: NodeId, page: Page, out: &mut Vec<Action>) {
-        let Some((records, last)) = self.catchup.given(from, page) else { return };
+        let Some((records, last)) = self.catchup.given(now, from, page) else { return };
         self.figures.learnt += records.len() as u64;
         let changed = records.iter().filter(|_| self.durable);
         let changed: Vec<Key> = changed.map(|record| record.key.clone()).collect();
@@ -718,13 +847,20 @@
 
     fn ask_donors(&mut self, now: Time, out: &mut Vec<Action>) {
         let mut asks = Vec::new();
-        self.catchup.tick(now, |node| self.members.standing(node) == Standing::Alive, &mut asks);
+        let (members, copies) = (&self.members, &self.copies);
+        let heard = |node| (members.standing(node) == Standing::Alive).then(|| copies.life_of(node));
+        self.catchup.tick(now, copies.is_whole(), heard, &mut asks);
         for (node, frame) in asks {
             self.send(node, frame, out);
         }
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
+        if let Some(left) =
+            self.copies.waits(now, &self.lists).filter(|_| !std::mem::replace(&mut self.told_wait, true))
+        {
+            out.push(Action::Note(Note::Waits(left)));
+        }
         if self.copies.tick(now, &self.lists) {
             self.is_sound_now(out);
         }
@@ -742,6 +878,7 @@
         }
         self.give(now, out);
         self.levels(out);
+        self.goes(now, out);
     }
 }
 
@@ -759,7 +896,7 @@
             bytes: 64 << 20,
             bytes_per_s: 16 << 20,
             probe: Duration::from_millis(500),
-            kept: kept.then(Vec::new),
+            kept: kept.then(|| Kept { records: Vec::new(), until: Mark { life: life - 1, seconds: 0 } }),
             durable: false,
         }
     }
@@ -825,6 +962,7 @@
                             }
                         }
                         Action::Store(number, ..) => events.push_back((node, Event::Stored(number, true))),
+                        Action::Allow(_) => {}
                     }
                 }
             }
@@ -908,6 +1046,47 @@
         assert_eq!(place.told(), [(3, Said::Granted)], "with the first and itself");
     }
 
+    /// The second node starts again with what it kept until then, at which nothing had run.
+    fn put_back(place: &mut Place, until: Mark) {
+        let list = place.nodes[&id(1)].lists().newest().clone();
+        let kept = Some(Kept { records: Vec::new(), until });
+        let fresh = Fleet::new(Settings { kept, ..settings(2, until.life + 1, false) }, list, place.now);
+        let hello = Frame::Hello(fresh.hello(id(1)));
+        place.nodes.insert(id(2), fresh);
+        place.notes.clear();
+        for other in [1, 3] {
+            let event =
+                Event::Heard { link: id(2).0, from: id(2), life: until.life + 1, frame: hello.clone() };
+            place.event(id(other), event);
+        }
+        place.wait(300);
+    }
+
+    #[test]
+    fn an_old_copy_of_what_it_kept_is_noticed_and_counts_as_lost() {
+        let mut place = Place::new(3, true);
+        place.wait(5_000);
+        place.want(1, 1, "k");
+        place.event(id(1), Event::Ended(Token(1), done("job")));
+        place.wait(5_000);
+        put_back(&mut place, Mark { life: 1, seconds: 4 });
+        let noticed = |note: &(NodeId, Note)| matches!(note, (_, Note::Outdated(kept, known)) if kept.seconds == 4 && known.seconds >= 9);
+        assert!(place.notes.iter().any(noticed), "{:?}", place.notes);
+        assert!(place.notes.contains(&(id(2), Note::Sound(1))), "it catches up: {:?}", place.notes);
+        place.told.clear();
+        place.down.insert(id(3));
+        place.want(2, 2, "k");
+        assert_eq!(place.told(), [(2, Said::Became(done("job")))]);
+    }
+
+    #[test]
+    fn what_was_kept_to_the_end_is_relied_on_at_once() {
+        let mut place = Place::new(3, true);
+        place.wait(5_000);
+        put_back(&mut place, Mark { life: 1, seconds: 4 });
+        assert!(place.nodes[&id(2)].is_sound() && place.nodes[&id(2)].figures().outdated == 0);
+    }
+
     #[test]
     fn nodes_that_all_lost_their_state_do_not_vouch_for_each_other() {
         let mut place = Place::new(3, true);
@@ -922,9 +1101,17 @@
         assert!(place.nodes.values().all(|node| node.is_level() && !node.is_sound() && node.behind() == 0));
         place.want(2, 2, "k");
         assert_eq!(place.told(), [(2, Said::Turned(Why::Returning))]);
-        place.wait(13_000);
+        place.wait(10_000);
+        let list = place.nodes[&id(1)].lists().newest().clone();
+        place.nodes.insert(id(1), Fleet::new(settings(1, 3, false), list, place.now));
+        place.wait(3_500);
         place.want(2, 3, "k");
         assert_eq!(place.told(), [(3, Said::Granted)], "its window is over");
+        place.wait(2_500);
+        assert!(
+            place.nodes[&id(1)].is_sound(),
+            "one that came later waits no longer than those that vouch for it"
+        );
     }
 
     #[test]
@@ -963,7 +1150,9 @@
     fn a_second_process_with_the_name_shuts_the_first_one_out() {
         let mut place = Place::new(3, true);
         let from = |life| {
-            Frame::Hello(Hello { name: "n1".into(), to: id(2), life, lists: vec![], over: 0, cut: false })
+            let name = "n1".into();
+            let (lists, seconds, kept) = (vec![], 0, None);
+            Frame::Hello(Hello { name, to: id(2), life, lists, over: 0, cut: false, seconds, kept })
         };
         place.event(id(2), Event::Heard { link: 99, from: id(1), life: 2, frame: from(2) });
         place.event(id(2), Event::Heard { link: id(1).0, from: id(1), life: 1, frame: from(1) });
--- a/fleet/tests/model.rs
+++ b/fleet/tests/model.rs
@@ -249,7 +249,8 @@
                 }
             }
             Frame::Pull { round, from: position } => {
-                let page = state.copies[n].page(NOW, id(from), round, position.as_ref(), &state.lists[n]);
+                let (page, _) =
+                    state.copies[n].page(NOW, id(from), round, position.as_ref(), &state.lists[n]);
                 let (life, frame) = (state.lives[n], Frame::Page(page));
                 state.net.insert(Message { from: to, life, to: from, frame });
             }
--- a/fleet/tests/sim.rs
+++ b/fleet/tests/sim.rs
@@ -10,10 +10,11 @@
 
 use lists::{list, name};
 use oakwind_fleet::claims::{Said, Token, Wanted};
-use oakwind_fleet::frame::Frame;
+use oakwind_fleet::frame::{Copied, Frame};
 use oakwind_fleet::list::{List, NodeId};
-use oakwind_fleet::node::{Action, Event, Fleet, Note, Settings, TICK};
-use oakwind_fleet::record::{Fate, Key};
+use oakwind_fleet::marks::Mark;
+use oakwind_fleet::node::{Action, Event, Fleet, Kept, Note, Settings, TICK};
+use oakwind_fleet::record::{ClaimId, Fate, Key};
 use oakwind_fleet::Time;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -35,7 +36,7 @@
     RunOver(Token),
     Kill {
         down: Duration,
-        keeps: bool,
+        disk: Disk,
     },
     Start,
     Sleep(Duration),
@@ -44,6 +45,24 @@
         until: Time,
     },
     Offer(Arc<List>),
+    /// Its disk is copied.
+    Copy,
+}
+
+/// What a node that was killed finds on its disk, if it has one.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Disk {
+    Kept,
+    Lost,
+    /// A copy that was made a while ago.
+    Old,
+}
+
+/// What is on a disk: what was kept of each key, until when that is of use, and where it ends.
+#[derive(Debug, Clone, Default)]
+struct Written {
+    keys: BTreeMap<Key, (Option<ClaimId>, Copied, Time)>,
+    until: Option<Mark>,
 }
 
 struct Happening {
@@ -76,8 +95,8 @@
     fleet: Option<Fleet>,
     process: u64,
     asleep_until: Time,
-    /// What a process that ended left on its disk, and until when each entry is of use.
-    kept: BTreeMap<Key, (Option<oakwind_fleet::record::ClaimId>, oakwind_fleet::frame::Copied, Time)>,
+    disk: Written,
+    copy: Written,
     durable: bool,
 }
 
@@ -97,7 +116,10 @@
     ended: BTreeMap<String, usize>,
     wrong: Vec<String>,
     conflicts: usize,
+    outdated: usize,
     frames: u64,
+    /// Pages that a node gave, by tenth of a second.
+    pages: HashMap<(usize, u128), u64>,
 }
 
 struct Sim {
@@ -134,8 +156,15 @@
             tokens: 0,
         };
         for _ in 0..nodes + 10 {
-            let kept = BTreeMap::new();
-            sim.machines.push(Machine { fleet: None, process: 0, asleep_until: Time::ZERO, kept, durable });
+            let (disk, copy) = (Written::default(), Written::default());
+            sim.machines.push(Machine {
+                fleet: None,
+                process: 0,
+                asleep_until: Time::ZERO,
+                disk,
+                copy,
+                durable,
+            });
         }
         all.into_iter().for_each(|node| sim.start(node));
         sim
@@ -155,14 +184,13 @@
         }
         machine.process += 1;
         let first = machine.process == 1;
-        let kept: Vec<_> = std::mem::take(&mut machine.kept)
-            .into_values()
-            .filter(|(.., until)| *until > now)
-            .map(|(vote, copied, until)| {
-                let keep_ms = (until - now).as_millis() as u64 + 1;
-                (vote, oakwind_fleet::frame::Copied { keep_ms, ..copied })
-            })
-            .collect();
+        let records = machine.disk.keys.values().filter(|(.., until)| *until > now);
+        let records = records.map(|(vote, copied, until)| {
+            let keep_ms = (*until - now).as_millis() as u64 + 1;
+            (*vote, Copied { keep_ms, ..copied.clone() })
+        });
+        let until = machine.disk.until.unwrap_or(Mark { life: 0, seconds: 0 });
+        let kept = Kept { records: records.collect(), until };
         let settings = Settings {
             name: name(node),
             life: machine.process,
@@ -173,7 +201,9 @@
             kept: (machine.durable || first).then_some(kept),
             durable: machine.durable,
         };
-        machine.fleet = Some(Fleet::new(settings, list, now));
+        let fleet = Fleet::new(settings, list, now);
+        machine.disk.until = Some(fleet.mark());
+        machine.fleet = Some(fleet);
         self.at(now, node, What::Tick);
     }
 
@@ -188,6 +218,9 @@
 
     fn carry(&mut self, from: usize, to: usize, to_process: Option<u64>, frame: Frame) {
         self.seen.frames += 1;
+        if matches!(frame, Frame::Page(_)) {
+            *self.seen.pages.entry((from, self.now.as_millis() / 100)).or_default() += 1;
+        }
         if self.apart(from, to) || self.rng.random::<f64>() < self.weather.loss {
             return;
         }
@@ -230,20 +263,25 @@
                 }
                 Action::Tell(token, said) => self.told(node, token, said),
                 Action::Store(number, change, vote) => {
-                    let machine = &mut self.machines[node];
+                    let keys = &mut self.machines[node].disk.keys;
                     match change.now {
                         Some(copied) => {
                             let until = self.now + ms(copied.keep_ms);
-                            machine.kept.insert(change.key, (vote, copied, until));
+                            keys.insert(change.key, (vote, copied, until));
                         }
-                        None => drop(machine.kept.remove(&change.key)),
+                        None => drop(keys.remove(&change.key)),
                     }
                     let at = self.now + ms(self.rng.random_range(0..3));
                     self.at(at, node, What::Event(Event::Stored(number, true)));
                 }
                 Action::Greet => self.greet(node),
                 Action::Note(Note::Conflict(..)) => self.seen.conflicts += 1,
-                Action::Note(_) => {}
+                Action::Note(Note::Outdated(..)) => {
+                    self.seen.outdated += 1;
+                    // What is on its disk counts no more.
+                    self.machines[node].disk = Written::default();
+                }
+                Action::Note(_) | Action::Allow(_) => {}
             }
         }
     }
@@ -316,7 +354,12 @@
             let machine = &mut self.machines[node];
             let own = matches!(
                 what,
-                What::Kill { .. } | What::Start | What::Cut { .. } | What::Offer(_) | What::Try(_)
+                What::Kill { .. }
+                    | What::Start
+                    | What::Cut { .. }
+                    | What::Offer(_)
+                    | What::Try(_)
+                    | What::Copy
             );
             if !own && (machine.process != process || machine.fleet.is_none()) {
                 continue;
@@ -332,6 +375,8 @@
             match what {
                 What::Tick => {
                     self.event(node, Event::Tick);
+                    let machine = &mut self.machines[node];
+                    machine.disk.until = machine.fleet.as_ref().map(Fleet::mark);
                     if self.machines[node].fleet.is_some() {
                         let first = self.now;
                         self.at(first + TICK, node, What::Tick);
@@ -344,13 +389,17 @@
                     let fate = Fate::Done(Key::from(format!("job of {key}")));
                     self.event(node, Event::Ended(token, fate));
                 }
-                What::Kill { down, keeps } => {
+                What::Kill { down, disk } => {
                     machine.fleet = None;
                     machine.asleep_until = Time::ZERO;
-                    if !keeps {
-                        machine.kept.clear();
-                        // Its disk is gone with what was on it: it can't know what it had granted.
-                        machine.durable = false;
+                    match disk {
+                        Disk::Kept => {}
+                        Disk::Lost => {
+                            machine.disk = Written::default();
+                            // Its disk is gone with what was on it: it can't know what it had granted.
+                            machine.durable = false;
+                        }
+                        Disk::Old => machine.disk = std::mem::take(&mut machine.copy),
                     }
                     self.at(at + down, node, What::Start);
                 }
@@ -368,6 +417,7 @@
                     }
                 }
                 What::Offer(list) => self.event(node, Event::List(list)),
+                What::Copy => machine.copy = machine.disk.clone(),
             }
         }
         self.now = until;
@@ -420,8 +470,13 @@
     for _ in 0..(nodes / 4).min(24) {
         let node = sim.rng.random_range(0..nodes);
         let at = from + over.mul_f64(sim.rng.random());
-        let (down, keeps) = (ms(sim.rng.random_range(50..2000)), sim.rng.random::<f64>() < 0.5);
-        sim.at(at, node, What::Kill { down, keeps });
+        let disk = [Disk::Kept, Disk::Lost, Disk::Old][sim.rng.random_range(0..3)];
+        let down = ms(sim.rng.random_range(50..2000));
+        if disk == Disk::Old && durable {
+            let made = at.saturating_sub(ms(sim.rng.random_range(3500..9000)));
+            sim.at(made, node, What::Copy);
+        }
+        sim.at(at, node, What::Kill { down, disk });
     }
     for _ in 0..(nodes / 8).min(12) {
         let node = sim.rng.random_range(0..nodes);
@@ -466,7 +521,10 @@
 }
 
 fn hold(seed: u64, seen: &Seen) {
-    println!("seed {seed}: {:?}, {} frames, {} conflicts", seen.ended, seen.frames, seen.conflicts);
+    println!(
+        "seed {seed}: {:?}, {} frames, {} conflicts, {} old copies noticed",
+        seen.ended, seen.frames, seen.conflicts, seen.outdated
+    );
     assert!(seen.wrong.is_empty(), "OAKWIND_SIM_SEED={seed}: {:#?}", &seen.wrong[..seen.wrong.len().min(10)]);
 }
 
@@ -511,3 +569,67 @@
         assert_eq!(think, [1].into(), "{nodes} nodes");
     }
 }
+
+/// How a fleet came back of which seven in ten lost all they knew in the same moment.
+#[derive(Debug)]
+struct Back {
+    /// Until the last of them had heard all that were there.
+    caught_up: Duration,
+    /// Until the last of them could vote for every key.
+    sound: Duration,
+    /// The most pages that a node gave within a tenth of a second, and in all.
+    busiest: u64,
+    given: u64,
+}
+
+fn back(seed: u64, nodes: usize) -> Back {
+    let mut sim = Sim::new(seed, nodes, 3, true, FINE);
+    sim.play(ms(4000));
+    let keys = nodes * 30;
+    sim.load(0..keys, ms(4000), ms(2500), nodes);
+    sim.play(ms(8000));
+    let mut struck: Vec<usize> = (0..nodes).collect();
+    struck.shuffle(&mut sim.rng);
+    struck.truncate(nodes * 7 / 10);
+    let (down, at) = (ms(500), sim.now);
+    struck.iter().for_each(|node| sim.at(at, *node, What::Kill { down, disk: Disk::Lost }));
+    let up = at + down;
+    sim.play(up + ms(1));
+    sim.seen.pages.clear();
+    let (mut caught_up, mut sound) = (None, None);
+    while sound.is_none() && sim.now < up + ms(30_000) {
+        let next = sim.now + ms(10);
+        sim.play(next);
+        let all = |holds: fn(&Fleet) -> bool| {
+            struck.iter().all(|node| sim.machines[*node].fleet.as_ref().is_some_and(holds))
+        };
+        caught_up = caught_up.or(all(|fleet| fleet.behind() == 0).then(|| sim.now - up));
+        sound = sound.or(all(Fleet::is_sound).then(|| sim.now - up));
+    }
+    assert!(sim.seen.wrong.is_empty(), "{:#?}", sim.seen.wrong);
+    let given =
+        |node: usize| sim.seen.pages.iter().filter(|((from, _), _)| *from == node).map(|(_, n)| n).sum();
+    Back {
+        caught_up: caught_up.unwrap_or(ms(30_000)),
+        sound: sound.unwrap_or(ms(30_000)),
+        busiest: sim.seen.pages.values().copied().max().unwrap_or(0),
+        given: (0..nodes).map(given).max().unwrap_or(0),
+    }
+}
+
+#[test]
+fn the_way_back_of_seven_in_ten_takes_a_window_and_no_donor_is_overrun_whatever_the_size() {
+    let sizes = [12, 50, 300];
+    let backs: Vec<Back> = sizes.iter().map(|nodes| back(1, *nodes)).collect();
+    for (nodes, Back { caught_up, sound, busiest, given }) in sizes.iter().zip(&backs) {
+        println!(
+            "nodes,{nodes},caught up ms,{},sound ms,{},most pages in 100 ms,{busiest},pages in all,{given}",
+            caught_up.as_millis(),
+            sound.as_millis()
+        );
+    }
+    let (small, large) = (&backs[0], &backs[sizes.len() - 1]);
+    assert!(large.sound < small.sound.mul_f64(1.15), "{backs:?}");
+    assert!(backs.iter().all(|back| back.caught_up < ms(2000)), "{backs:?}");
+    assert!(backs.iter().all(|back| back.busiest <= 160), "{backs:?}");
+}
--- a/node/src/clock.rs
+++ b/node/src/clock.rs
@@ -1,15 +1,89 @@
-//! Time is the system's Unix clock. Deadlines are points on it and travel with what they bound.
+//! Time is the system's Unix clock, but never goes back: deadlines are points on it and travel with what they bound. When
+//! the system's clock is set back, time goes on a little slower until that has caught up; when it jumps ahead, as after a
+//! sleep of the machine, time follows, and how far it has jumped is told to those who must not forget anything early.
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::cell::RefCell;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use tokio::time::{Instant, Sleep};
+use tokio::time::Sleep;
 
 /// A point in time, as the time since the Unix epoch.
 pub type Unix = Duration;
 
+/// While the system's clock is behind, time goes on slower by one part in so many.
+const SLOWER: u32 = 20;
+/// What the system's clock gains on the steady one at once, from this on, is a jump.
+const JUMP: Duration = Duration::from_millis(500);
+/// For rehearsals: so long after its start, in milliseconds, the process sees the system's clock set by so many
+/// milliseconds, as AT:BY (`3000:-3600000`).
+const REHEARSED: &str = "OAKWIND_REHEARSED_CLOCK";
+
+/// How the time that is told follows the system's clock.
+#[derive(Debug)]
+struct Follower {
+    told: Unix,
+    system: Unix,
+    steady: Duration,
+    jumped: Duration,
+}
+
+impl Follower {
+    fn new(system: Unix, steady: Duration) -> Self {
+        Follower { told: system, system, steady, jumped: Duration::ZERO }
+    }
+
+    fn now(&mut self, system: Unix, steady: Duration) -> Unix {
+        let passed = steady.saturating_sub(self.steady);
+        let gained = system.saturating_sub(self.system).saturating_sub(passed);
+        if gained >= JUMP {
+            // Where it only makes up for having been set back, time does not jump.
+            self.jumped += gained.min(system.saturating_sub(self.told + passed));
+        }
+        let slower = passed.saturating_sub(passed / SLOWER);
+        self.told = system.max(self.told + slower);
+        (self.system, self.steady) = (system, steady);
+        self.told
+    }
+}
+
+struct Watch {
+    begun: Instant,
+    rehearsed: Option<(Duration, i64)>,
+    follower: Option<Follower>,
+}
+
+thread_local! {
+    static WATCH: RefCell<Watch> = RefCell::new(Watch {
+        begun: Instant::now(),
+        rehearsed: std::env::var(REHEARSED).ok().and_then(|text| rehearsed(&text)),
+        follower: None,
+    });
+}
+
+fn rehearsed(text: &str) -> Option<(Duration, i64)> {
+    let (at, by) = text.split_once(':')?;
+    Some((Duration::from_millis(at.parse().ok()?), by.parse().ok()?))
+}
+
 /// Now.
 pub fn now() -> Unix {
-    SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default()
+    let system = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    WATCH.with_borrow_mut(|watch| {
+        let steady = watch.begun.elapsed();
+        let system = match watch.rehearsed {
+            Some((at, by)) if steady >= at && by < 0 => {
+                system.saturating_sub(Duration::from_millis(by.unsigned_abs()))
+            }
+            Some((at, by)) if steady >= at => system + Duration::from_millis(by.unsigned_abs()),
+            _ => system,
+        };
+        watch.follower.get_or_insert_with(|| Follower::new(system, steady)).now(system, steady)
+    })
+}
+
+/// How far time has jumped ahead since the process began, in all.
+pub fn jumped() -> Duration {
+    WATCH.with_borrow(|watch| watch.follower.as_ref().map_or(Duration::ZERO, |follower| follower.jumped))
 }
 
 /// A time in whole milliseconds, as it is written and sent.
@@ -19,5 +93,58 @@
 
 /// Sleeps until a point in time.
 pub fn until(at: Unix) -> Sleep {
-    tokio::time::sleep_until(Instant::now() + at.saturating_sub(now()).min(Duration::from_secs(86_400)))
+    let wait = at.saturating_sub(now()).min(Duration::from_secs(86_400));
+    tokio::time::sleep_until(tokio::time::Instant::now() + wait)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn ms(millis: u64) -> Duration {
+        Duration::from_millis(millis)
+    }
+
+    #[test]
+    fn time_is_the_systems_as_long_as_that_goes_on_evenly() {
+        let mut follower = Follower::new(ms(1_000_000), ms(0));
+        for at in (0..5_000).step_by(37) {
+            // The system's clock may be steered by a little.
+            let system = ms(1_000_000 + at + at / 1000);
+            assert_eq!(follower.now(system, ms(at)), system);
+        }
+        assert_eq!(follower.jumped, ms(0));
+    }
+
+    #[test]
+    fn a_clock_that_is_set_back_slows_time_down_until_it_has_caught_up() {
+        let mut follower = Follower::new(ms(1_000_000), ms(0));
+        let mut last = follower.now(ms(1_001_000), ms(1_000));
+        for at in (1_100..12_000).step_by(100) {
+            let now = follower.now(ms(1_000_000 + at - 400), ms(at));
+            assert!(now > last && now - last <= ms(100), "{at}: {last:?} {now:?}");
+            last = now;
+        }
+        assert_eq!(last, ms(1_000_000 + 11_900 - 400), "400 ms are caught up within 8 s");
+        assert_eq!(follower.jumped, ms(0));
+    }
+
+    #[test]
+    fn a_jump_ahead_is_followed_and_told_and_one_back_to_where_it_was_is_not_one() {
+        let mut follower = Follower::new(ms(1_000_000), ms(0));
+        assert_eq!(follower.now(ms(1_060_100), ms(100)), ms(1_060_100));
+        assert_eq!(follower.jumped, ms(60_000));
+        let back = follower.now(ms(1_000_200), ms(200));
+        assert!(back > ms(1_060_100));
+        let again = follower.now(ms(1_060_300), ms(300));
+        assert!(again >= back && again < ms(1_060_400));
+        assert!(follower.jumped <= ms(60_010), "{:?}", follower.jumped);
+    }
+
+    #[test]
+    fn a_rehearsal_names_when_and_by_how_much() {
+        assert_eq!(rehearsed("3000:-3600000"), Some((ms(3000), -3_600_000)));
+        assert_eq!(rehearsed("0:60000"), Some((ms(0), 60_000)));
+        assert_eq!([rehearsed("3000"), rehearsed("-1:0"), rehearsed("a:b")], [None; 3]);
+    }
 }
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -3,6 +3,7 @@
 
 mod keys;
 
+use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::rc::Rc;
@@ -21,7 +22,7 @@
     CallCommand, CallEnd, Claim, CoreEnds, End, Estate, Input, Outcome, Report, Request, RunCommand, State,
     Ticket,
 };
-use crate::fate::{Fate, Kept, Key, KeyRecord};
+use crate::fate::{digest, Fate, Kept, Key, KeyRecord};
 use crate::keeper::{Keeper, Run, Word};
 use crate::log;
 use keys::{Keys, Linked};
@@ -115,6 +116,10 @@
     held_back: Vec<Input>,
     /// What keeps keys beyond this process, as far as operators' files say so.
     keeper: Keeper,
+    /// Requests turned away without a decision.
+    turned: Cell<u64>,
+    /// How far time had jumped ahead when that was last looked at.
+    jumped: Duration,
 }
 
 impl Core {
@@ -140,6 +145,8 @@
             heir: None,
             held_back: Vec::new(),
             keeper: Keeper::default(),
+            turned: Cell::new(0),
+            jumped: Duration::ZERO,
         }
     }
 
@@ -196,6 +203,7 @@
     /// Hands the batch to the decisions and carries out what they answer, until nothing more follows from it.
     fn settle(&mut self) {
         let now = clock::now();
+        self.see_jumps();
         self.fire_timers(now);
         loop {
             self.decide(now);
@@ -216,6 +224,16 @@
         self.update(|state| (state.open, state.answered) = (open, answered));
     }
 
+    /// Keys stay remembered for as long as they would have, however the system's clock is set.
+    fn see_jumps(&mut self) {
+        let jumped = clock::jumped();
+        if jumped > self.jumped {
+            let by = jumped - std::mem::replace(&mut self.jumped, jumped);
+            log!("the clock has jumped ahead by {} ms", by.as_millis());
+            self.keys.jumped(by);
+        }
+    }
+
     fn update(&self, change: impl FnOnce(&mut State)) {
         self.ends.state.send_if_modified(|state| {
             let before = state.clone();
@@ -278,6 +296,7 @@
                 self.update(|state| state.succeeds = false);
             }
             Input::Away(away) => self.update(|state| state.away = away),
+            Input::Hold(held) => self.update(|state| state.held = held),
             Input::Report(Report::Up { cold }) => self.start(cold),
             Input::Report(Report::Gauges(values)) => {
                 let gauges = swiftwinch_settings::gauges(&self.settings.gauges, &values);
@@ -292,8 +311,10 @@
     /// The decisions begin when something can run requests: only then is it known whether that is cold.
     fn start(&mut self, cold: bool) {
         if self.admission.is_none() {
-            let settings = Settings { cold, ..decided_by(&self.settings) };
-            self.admission = Some(Admission::new(settings, self.seed, clock::now()));
+            let (settings, now) = (Settings { cold, ..decided_by(&self.settings) }, clock::now());
+            let warm_at = cold.then_some(now + settings.warm_after);
+            self.admission = Some(Admission::new(settings, self.seed, now));
+            self.update(|state| state.warm_at = warm_at);
             if let Some((stop, _)) = self.ends.state.borrow().draining {
                 self.events.push(Event::Drain(stop.saturating_sub(clock::now())));
             }
@@ -539,11 +560,14 @@
         }
     }
 
-    /// Turns a request away where no decision is made of it: nothing runs requests yet, or nothing took it.
+    /// Turns a request away where no decision is made of it: nothing runs requests yet, or nothing took it. The advice
+    /// differs each time, and from node to node: guards against all coming back in the same moment.
     fn not_now(&self) -> Outcome {
         let settings = &self.settings.settings;
-        let retry_after = settings.retry_after.then(|| settings.max_retry_after.mul_f64(UNDECIDED));
-        Outcome::Refused { retry_after, stay: false }
+        let turned = self.turned.replace(self.turned.get() + 1);
+        let spread = 0.5 + (digest(self.seed, &turned.to_be_bytes()) >> 11) as f64 / (1_u64 << 53) as f64;
+        let advice = || settings.max_retry_after.mul_f64(UNDECIDED * spread);
+        Outcome::Refused { retry_after: settings.retry_after.then(advice), stay: false }
     }
 
     /// The key of a request whose class must not run twice.
--- a/node/src/core/keys.rs
+++ b/node/src/core/keys.rs
@@ -298,6 +298,12 @@
         joiners
     }
 
+    /// Time has jumped ahead by so much: what is remembered stays for as long as it would have without that. Guards
+    /// against a second run of a key that was forgotten because the clock was set.
+    pub fn jumped(&mut self, by: Duration) {
+        self.entries.values_mut().for_each(|entry| entry.until += by);
+    }
+
     /// Drops entries that have run out, now and then.
     pub fn sweep(&mut self, now: Unix) {
         if now < self.swept + Duration::from_secs(1) {
@@ -419,6 +425,17 @@
         assert_eq!(keys.arrived(key(), b"x", at(102)), Linked::To(B), "A has nothing left to give up");
     }
 
+    #[test]
+    fn a_clock_that_jumps_ahead_makes_no_key_run_out_early() {
+        let mut keys = Keys::new(1000);
+        keys.remember(key(), b"b", A, at(117));
+        keys.jumped(Duration::from_secs(3600));
+        keys.sweep(at(3716));
+        assert_eq!(keys.arrived(key(), b"b", at(3716)), Linked::To(A));
+        keys.sweep(at(3717) + READ_LATE);
+        assert!(!keys.knows(&key()));
+    }
+
     #[test]
     fn a_key_with_another_body_is_another_request_until_it_runs_out() {
         let mut keys = keys();
--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -114,6 +114,8 @@
     Drain(Unix),
     /// Operators send front ends away, or let them come again.
     Away(bool),
+    /// The way back of this node holds front ends off, or lets them come.
+    Hold(bool),
     /// Other settings hold from now on, which follow the ones before.
     Retune(Box<Parsed>),
     /// A new process takes over; it is told here what this one knows.
@@ -199,6 +201,10 @@
     pub good: Option<bool>,
     /// Operators send front ends away.
     pub away: bool,
+    /// This node is on its way back and not far enough for front ends.
+    pub held: bool,
+    /// What runs requests started cold, and is warm from then on.
+    pub warm_at: Option<Unix>,
     /// Connections idle for this long are closed; unset until the decisions have begun.
     pub idle: Option<Duration>,
     /// The notice to leave has come: when the process is stopped, and when the notice came.
@@ -218,7 +224,7 @@
 impl State {
     /// What health checks hear.
     pub fn healthy(&self) -> bool {
-        self.good == Some(true) && !self.away
+        self.good == Some(true) && !self.away && !self.held
     }
 
     /// Whether requests can be served: the decisions have begun with all that the process before knew, and
@@ -270,14 +276,16 @@
 }
 
 /// A new exchange: the handle, the core's ends and the backends' ends. `inheriting`: a process before this one
-/// is to tell what it knows.
-pub fn new(inheriting: bool) -> (Exchange, CoreEnds, BackendEnds) {
+/// is to tell what it knows. `held`: front ends are to come later.
+pub fn new(inheriting: bool, held: bool) -> (Exchange, CoreEnds, BackendEnds) {
     let (inbox, core_inbox) = mpsc::channel(INBOX);
     let (runs, backend_runs) = mpsc::channel(COMMANDS);
     let (calls, backend_calls) = mpsc::channel(COMMANDS);
     let state = State {
         good: None,
         away: false,
+        held,
+        warm_at: None,
         idle: None,
         draining: None,
         handed: false,
@@ -328,6 +336,11 @@
         self.tell(Input::Away(away)).await;
     }
 
+    /// The way back of this node holds front ends off, or lets them come.
+    pub async fn hold(&self, held: bool) {
+        self.tell(Input::Hold(held)).await;
+    }
+
     /// Other settings hold from now on, which follow the ones before.
     pub async fn retune(&self, settings: Parsed) {
         self.tell(Input::Retune(Box::new(settings))).await;
--- a/node/src/membership.rs
+++ b/node/src/membership.rs
@@ -22,9 +22,9 @@
     let mut socket = None;
     loop {
         let Some(service) = links.borrow_and_update().members else { return };
-        let (leaving, handed) = {
+        let (leaving, handed, held) = {
             let state = state.borrow_and_update();
-            (state.draining.is_some(), state.handed)
+            (state.draining.is_some(), state.handed, state.held)
         };
         if handed {
             // The new process reports under the same name.
@@ -33,6 +33,13 @@
             }
             continue;
         }
+        if held && !leaving {
+            // Front ends find it once it is far enough on its way back.
+            if state.wait_for(|state| !state.held || state.draining.is_some()).await.is_err() {
+                return;
+            }
+            continue;
+        }
         let word = if leaving { "OUT" } else { "UP" };
         if let Err(e) = send(&mut socket, service, &format!("HB {name} {word}")).await {
             log!("membership: not reported: {e}");
--- /dev/null
+++ b/node/src/peers/folder.rs
@@ -0,0 +1,155 @@
+//! The folder of what this node has granted: what the last process left in it, and the marker that says whether, and how
+//! far, that can be relied on.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use oakwind_fleet::frame::Copied;
+use oakwind_fleet::marks::Mark;
+use oakwind_fleet::node::Kept;
+use oakwind_fleet::record::ClaimId;
+use oakwind_fleet::READ_LATE;
+
+use crate::clock;
+use crate::config::Fleet as Config;
+use crate::fate::Fate;
+use crate::log;
+use crate::remembered::Remembrance;
+
+/// Between two attempts to open a folder that another process still has, and how long they go on.
+const AGAIN: Duration = Duration::from_millis(10);
+const OWED: Duration = Duration::from_secs(2);
+/// The marker, and what it is called while it is written.
+const MARKER: &str = "sound";
+const UNFINISHED: &str = "sound-new";
+
+/// A folder, and what it kept if that can be relied on.
+pub type Opened = (Remembrance, Option<Kept>);
+
+/// Opens the folder and takes in what the last process left, if that can be relied on. None where there is no folder.
+///
+/// # Errors
+///
+/// One line that names the key in the file.
+pub fn open(config: &Config) -> Result<Option<Opened>, String> {
+    let Some(remembered) = config.folder.clone() else { return Ok(None) };
+    let mut marker = Marker::new(&remembered.folder, true);
+    let mut folder = Remembrance::closed(remembered, config.list.window() + READ_LATE);
+    let recovered = folder.open().map_err(|e| format!("fleet file: {e}"))?;
+    let whole = recovered.damage == Default::default() && recovered.back.is_zero();
+    let now = clock::now();
+    let records = recovered.keys.iter().map(|record| {
+        let Fate::Done(bytes) = &record.fate else { return None };
+        let (vote, copied) = postcard::from_bytes::<(Option<ClaimId>, Copied)>(bytes).ok()?;
+        let keep_ms = clock::millis(record.until.saturating_sub(now));
+        Some((vote, Copied { keep_ms, ..copied }))
+    });
+    let records: Option<Vec<_>> = records.collect();
+    let marked = marker.read();
+    let kept = records.zip(marked).filter(|_| whole).map(|(records, until)| Kept { records, until });
+    if kept.is_none() && marked.is_some() {
+        log!("fleet: what is in the folder can't be relied on, and counts as lost");
+        // Otherwise the next start would rely on what this one does not.
+        marker.void();
+    }
+    Ok(Some((folder, kept)))
+}
+
+/// The same where another process of this node may have it for a moment more.
+pub async fn open_soon(config: &Config) -> Option<Opened> {
+    let by = clock::now() + OWED;
+    loop {
+        match open(config) {
+            Ok(opened) => return opened,
+            Err(e) if clock::now() >= by => {
+                log!("{e}");
+                return None;
+            }
+            Err(_) => clock::until(clock::now() + AGAIN).await,
+        }
+    }
+}
+
+/// Says in the folder that what is in it can be relied on, and up to which point of the node's lives.
+pub struct Marker {
+    folder: PathBuf,
+    /// Whether it does.
+    valid: bool,
+    written: Option<Mark>,
+}
+
+impl Marker {
+    /// The marker of a folder; `valid` if what that holds is relied on.
+    pub fn new(folder: &Path, valid: bool) -> Marker {
+        Marker { folder: folder.into(), valid, written: None }
+    }
+
+    /// How far the last process reached; none if nothing can be relied on.
+    fn read(&self) -> Option<Mark> {
+        let text = fs::read_to_string(self.folder.join(MARKER)).ok()?;
+        let (life, seconds) = text.trim_end().split_once(' ')?;
+        Some(Mark { life: life.parse().ok()?, seconds: seconds.parse().ok()? })
+    }
+
+    /// What is in the folder can be relied on from now on.
+    pub fn holds(&mut self, mark: Mark) {
+        self.valid = true;
+        self.reaches(mark);
+    }
+
+    /// This process is here in its lives; written when that has changed. It need not outlast the machine: where it does not,
+    /// others know better, or nobody is left who does.
+    pub fn reaches(&mut self, mark: Mark) {
+        if !self.valid || self.written == Some(mark) {
+            return;
+        }
+        let unfinished = self.folder.join(UNFINISHED);
+        let written = fs::write(&unfinished, format!("{} {}\n", mark.life, mark.seconds))
+            .and_then(|()| fs::rename(&unfinished, self.folder.join(MARKER)));
+        match written {
+            Ok(()) => self.written = Some(mark),
+            Err(e) => log!("fleet: the folder does not say that it can be relied on: {e}"),
+        }
+    }
+
+    /// Nothing in the folder can be relied on any more.
+    pub fn void(&mut self) {
+        self.valid = false;
+        // Where it can't be removed, the next start finds out as this one did.
+        let _ = fs::remove_file(self.folder.join(MARKER));
+    }
+
+    /// Another process has the folder from now on.
+    pub fn rest(&mut self) {
+        self.valid = false;
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_marker_tells_the_next_process_how_far_the_last_one_reached() {
+        let folder = std::env::temp_dir().join(format!("oakwind-marker-{}", std::process::id()));
+        fs::create_dir_all(&folder).unwrap();
+        let mark = |seconds| Mark { life: 1_764_000_000_000_000, seconds };
+        let mut marker = Marker::new(&folder, false);
+        marker.reaches(mark(1));
+        assert_eq!(marker.read(), None, "nothing in it can be relied on yet");
+        marker.holds(mark(2));
+        marker.reaches(mark(3));
+        assert_eq!(Marker::new(&folder, true).read(), Some(mark(3)));
+        marker.rest();
+        marker.reaches(mark(4));
+        assert_eq!(marker.read(), Some(mark(3)), "another process has it");
+        for nonsense in ["", "7", "a b", "7 -1", "7 1 1"] {
+            fs::write(folder.join(MARKER), nonsense).unwrap();
+            assert_eq!(marker.read(), None, "{nonsense:?}");
+        }
+        marker.void();
+        assert!(!folder.join(MARKER).exists());
+        fs::remove_dir_all(&folder).unwrap();
+    }
+}
--- a/node/src/peers/frame.rs
+++ b/node/src/peers/frame.rs
@@ -76,6 +76,7 @@
     use bytes::Bytes;
     use oakwind_fleet::frame::{Blocker, Hello, Page, Sound, Why};
     use oakwind_fleet::list::NodeId;
+    use oakwind_fleet::marks::Mark;
     use oakwind_fleet::record::{ClaimId, End, Fate};
 
     fn claim() -> ClaimId {
@@ -94,11 +95,14 @@
                 lists: vec![(1, 2)],
                 over: 0,
                 cut: false,
+                seconds: 9,
+                kept: Some(Mark { life: 6, seconds: 40 }),
             }),
             Frame::Blocked { claim: claim(), by },
             Frame::Unsure { claim: claim(), why: Why::Returning },
             Frame::Ended { key: "k".into(), keep_ms: 5, end },
             Frame::Page(Page { round: 1, records: vec![], next: None, sound: Sound::Whole }),
+            Frame::Outdated { known: Mark { life: 6, seconds: 50 } },
         ]
     }
 
@@ -122,8 +126,8 @@
 
     #[test]
     fn the_last_kind_that_is_known_is_the_last_there_is() {
-        let page = frames().pop().unwrap();
-        let bytes = postcard::to_allocvec(&page).unwrap();
+        let last = frames().pop().unwrap();
+        let bytes = postcard::to_allocvec(&last).unwrap();
         assert_eq!(postcard::take_from_bytes::<u32>(&bytes).unwrap().0, KINDS - 1);
     }
 
--- a/node/src/peers/links.rs
+++ b/node/src/peers/links.rs
@@ -378,7 +378,9 @@
     const PEER: NodeId = NodeId(2);
 
     fn hello() -> Frame {
-        Frame::Hello(Hello { name: "n1".into(), to: PEER, life: 1, lists: vec![], over: 0, cut: false })
+        let name = "n1".into();
+        let (lists, seconds, kept) = (vec![], 0, None);
+        Frame::Hello(Hello { name, to: PEER, life: 1, lists, over: 0, cut: false, seconds, kept })
     }
 
     fn large() -> Frame {
--- a/node/src/peers/mod.rs
+++ b/node/src/peers/mod.rs
@@ -1,24 +1,24 @@
 //! Talk among the nodes of a fleet: what the decisions of `oakwind-fleet` say goes out on links, what comes in goes to
 //! them, and what they tell a try goes to the keeper. No decision is made here.
 
+mod folder;
 pub mod frame;
 pub mod links;
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io;
-use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use oakwind_fleet::claims::{Said, Token, Wanted};
 use oakwind_fleet::copies::{Change, Link};
-use oakwind_fleet::frame::{Copied, Frame, Hello, Why};
+use oakwind_fleet::frame::{Frame, Hello, Why};
 use oakwind_fleet::list::NodeId;
 use oakwind_fleet::node::{Action, Event, Figures, Fleet, Note, Settings, TICK};
 use oakwind_fleet::record::{ClaimId, Fate};
-use oakwind_fleet::{Time, READ_LATE};
+use oakwind_fleet::Time;
 use sha2::{Digest, Sha256};
 use swiftwinch::RequestId;
 use tokio::net::{TcpListener, TcpStream};
@@ -26,20 +26,17 @@
 
 use crate::clock::{self, Unix};
 use crate::config::Fleet as Config;
+use crate::exchange::Exchange;
 use crate::remembered::record::{Record, State};
 use crate::remembered::{Remembrance, Told};
 use crate::{listen, log};
+use folder::{Marker, Opened};
 use links::{Heard, Links};
 
 /// What may wait for the peers, and what they may have to tell; who finds no room is turned away.
 const WAITING: usize = 4096;
 /// Frames that may wait; who sends more waits.
 const INBOX: usize = 1024;
-/// Between two attempts to open a folder that another process still has, and how long they go on.
-const AGAIN: Duration = Duration::from_millis(10);
-const OWED: Duration = Duration::from_secs(2);
-/// Says in the folder that what is in it can be relied on.
-const SOUND: &str = "sound";
 
 /// This node's own clock: it does not go back when the system's does, nor stand still while the process does.
 #[derive(Debug, Clone, Copy)]
@@ -104,6 +101,8 @@
             ("fleet_given", figures.given),
             ("fleet_conflicts", figures.conflicts),
             ("fleet_slept", figures.slept),
+            ("fleet_sent_away", figures.sent_away),
+            ("fleet_outdated", figures.outdated),
         ];
         all.extend(self.others.borrow().iter());
         all
@@ -201,6 +200,8 @@
     listener: Option<TcpListener>,
     /// The folder, if there is one and it is open.
     opened: Option<Opened>,
+    /// Where it learns that something runs requests, and tells whether front ends may come.
+    exchange: Exchange,
 }
 
 /// A node's talk with its peers, to be run. `beside` if a process before this one still has the address and the folder.
@@ -208,7 +209,7 @@
 /// # Errors
 ///
 /// One line that names the key in the file.
-pub fn new(config: Config, seed: u64, beside: bool) -> Result<(Peers, Driver), String> {
+pub fn new(config: Config, seed: u64, beside: bool, exchange: Exchange) -> Result<(Peers, Driver), String> {
     let (orders, ordered) = mpsc::channel(WAITING);
     let (tell, told) = mpsc::channel(WAITING);
     let clock = Steady { begun: Instant::now() };
@@ -222,61 +223,17 @@
         listener: None,
         opened: None,
         config,
+        exchange,
     };
     if !beside {
         let address = driver.config.listen;
         let listener = listen::open(address, false);
         driver.listener = Some(listener.map_err(|e| format!("fleet file, listen: {address}: {e}"))?);
-        driver.opened = open(&driver.config)?;
+        driver.opened = folder::open(&driver.config)?;
     }
     Ok((Peers { orders, told, clock, shown }, driver))
 }
 
-/// What a node kept of its last life, with its votes.
-type Kept = Vec<(Option<ClaimId>, Copied)>;
-
-/// A folder, and what it kept if that can be relied on.
-type Opened = (Remembrance, Option<Kept>);
-
-/// Opens the folder and takes in what the last process left, if that can be relied on. None where there is no folder.
-fn open(config: &Config) -> Result<Option<Opened>, String> {
-    let Some(remembered) = config.folder.clone() else { return Ok(None) };
-    let sound = remembered.folder.join(SOUND);
-    let mut folder = Remembrance::closed(remembered, config.list.window() + READ_LATE);
-    let recovered = folder.open().map_err(|e| format!("fleet file: {e}"))?;
-    let whole = recovered.damage == Default::default() && recovered.back.is_zero();
-    let now = clock::now();
-    let kept = recovered.keys.iter().map(|record| {
-        let crate::fate::Fate::Done(bytes) = &record.fate else { return None };
-        let (vote, copied) = postcard::from_bytes::<(Option<ClaimId>, Copied)>(bytes).ok()?;
-        let keep_ms = clock::millis(record.until.saturating_sub(now));
-        Some((vote, Copied { keep_ms, ..copied }))
-    });
-    let kept: Option<Kept> = kept.collect();
-    let kept = kept.filter(|_| whole && sound.exists());
-    if kept.is_none() && sound.exists() {
-        log!("fleet: what is in the folder can't be relied on, and counts as lost");
-        // Otherwise the next start would rely on what this one does not.
-        let _ = std::fs::remove_file(sound);
-    }
-    Ok(Some((folder, kept)))
-}
-
-/// The same where another process of this node may have it for a moment more.
-async fn open_soon(config: &Config) -> Option<Opened> {
-    let by = clock::now() + OWED;
-    loop {
-        match open(config) {
-            Ok(opened) => return opened,
-            Err(e) if clock::now() >= by => {
-                log!("{e}");
-                return None;
-            }
-            Err(_) => clock::until(clock::now() + AGAIN).await,
-        }
-    }
-}
-
 impl Driver {
     /// Waits until the process before lets go; false if there is nobody left to talk for.
     async fn begins(&mut self) -> bool {
@@ -300,9 +257,9 @@
             if !self.begins().await {
                 return;
             }
-            self.opened = open_soon(&self.config).await;
+            self.opened = folder::open_soon(&self.config).await;
         }
-        let Driver { config, clock, seed, mut orders, tell, shown, mut listener, opened } = self;
+        let Driver { config, clock, seed, mut orders, tell, shown, mut listener, opened, exchange } = self;
         let (mut folder, kept) = opened.unzip();
         let settings = Settings {
             name: config.name.clone(),
@@ -315,16 +272,20 @@
             durable: folder.is_some(),
         };
         let (heard, mut inbox) = mpsc::channel(INBOX);
-        let place = config.folder.as_ref().map(|folder| folder.folder.clone());
+        let marker =
+            config.folder.as_ref().map(|folder| Marker::new(&folder.folder, settings.kept.is_some()));
+        let state = exchange.state();
         let mut talk = Talk {
             fleet: Fleet::new(settings, config.list.clone(), clock.now()),
             links: Links::new(config.links / 2, heard),
             clock,
-            place,
+            marker,
             later: VecDeque::new(),
             unsaid: VecDeque::new(),
             listens: true,
+            hold: None,
         };
+        let mut runs = false;
         if let Some(listener) = &listener {
             log!("fleet: peers connect to {}", listener.local_addr().unwrap_or(config.listen));
         }
@@ -342,7 +303,14 @@
                         listener = listen::open(config.listen, false).ok();
                     }
                     talk.show(&shown);
-                    Some(Event::Tick)
+                    // Before anybody hears of it.
+                    talk.marks();
+                    let state = state.borrow();
+                    if state.good.is_some() && !std::mem::replace(&mut runs, true) {
+                        Some(Event::Cores(state.warm_at.map(|at| clock.of(at))))
+                    } else {
+                        Some(Event::Tick)
+                    }
                 }
                 ordered = orders.recv() => match ordered {
                     Some(event) => Some(event),
@@ -366,9 +334,12 @@
             };
             match &event {
                 // The process that takes over has it next.
-                Some(Event::Retire) => folder = None,
+                Some(Event::Retire) => {
+                    folder = None;
+                    talk.marker.iter_mut().for_each(Marker::rest);
+                }
                 Some(Event::Resume(_)) if folder.is_none() => {
-                    folder = open_soon(&config).await.map(|(folder, _)| folder);
+                    folder = folder::open_soon(&config).await.map(|(folder, _)| folder);
                 }
                 _ => {}
             }
@@ -379,6 +350,9 @@
                 // The keeper ends only with the process.
                 let _ = tell.send((id, said)).await;
             }
+            if let Some(held) = talk.hold.take() {
+                exchange.hold(held).await;
+            }
         }
     }
 }
@@ -406,13 +380,16 @@
     fleet: Fleet,
     links: Links,
     clock: Steady,
-    place: Option<PathBuf>,
+    /// What says in the folder whether that can be relied on.
+    marker: Option<Marker>,
     /// What follows from what was done.
     later: VecDeque<Event>,
     /// What tries are to be told.
     unsaid: VecDeque<(RequestId, Said)>,
     /// Whether peers may connect here.
     listens: bool,
+    /// Whether front ends are to be held off, where that has changed.
+    hold: Option<bool>,
 }
 
 impl Talk {
@@ -503,15 +480,31 @@
                 let everyone = self.fleet.lists().everyone();
                 self.links.keep(|node| everyone.contains(&node));
             }
+            Action::Allow(allows) => self.hold = Some(!allows.clients),
             Action::Note(note) => {
-                if matches!(note, Note::Sound(_)) {
-                    self.place.iter().for_each(|place| mark_sound(place));
+                let mark = self.fleet.mark();
+                if let Some(marker) = &mut self.marker {
+                    match note {
+                        Note::Sound(_) => marker.holds(mark),
+                        Note::Outdated(..) => marker.void(),
+                        _ => {}
+                    }
+                }
+                match note {
+                    // Each at a place of its own: guards the others against being left out of the log.
+                    Note::Stage(step) => log!("fleet: the way back: {step}"),
+                    note => log!("fleet: {note}"),
                 }
-                log!("fleet: {note}");
             }
         }
     }
 
+    /// Has the folder say how far it reaches.
+    fn marks(&mut self) {
+        let mark = self.fleet.mark();
+        self.marker.iter_mut().for_each(|marker| marker.reaches(mark));
+    }
+
     /// Has the folder keep what is known of a key; where it can't, what waits for that is told so.
     fn store(&mut self, number: u64, change: Change, vote: Option<ClaimId>, folder: &Option<Remembrance>) {
         let recorder = folder.as_ref().and_then(|folder| folder.recorder.as_ref());
@@ -541,6 +534,8 @@
         others.extend([
             ("fleet_list", self.fleet.lists().newest().number()),
             ("fleet_lists", self.fleet.lists().about().len() as u64),
+            ("fleet_stage", self.fleet.stage() as u64),
+            ("fleet_waits_ms", clock::millis(self.fleet.waits(self.clock.now()))),
             ("fleet_level", u64::from(self.fleet.is_level())),
             ("fleet_sound", u64::from(self.fleet.is_sound())),
             ("fleet_alive", counts.alive),
@@ -561,11 +556,3 @@
         ]);
     }
 }
-
-/// What is in the folder can be relied on from now on.
-fn mark_sound(place: &Path) {
-    let written = std::fs::File::create(place.join(SOUND)).and_then(|file| file.sync_all());
-    if let Err(e) = written {
-        log!("fleet: the folder does not say that it can be relied on: {e}");
-    }
-}
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -55,7 +55,8 @@
     let (notice, hangup) = signals().map_err(|e| format!("no signals: {e}"))?;
     let place = handover::place(config.listen);
     let upgrade = handover::serves_already(place.as_deref()).await;
-    let (exchange, core, backends) = exchange::new(upgrade);
+    // One that takes over is where the process before it was.
+    let (exchange, core, backends) = exchange::new(upgrade, fleet.is_some() && !upgrade);
     let (changed, links) = watch::channel(config.links.clone());
     // With a folder that a next process finds it by, both may listen at once.
     let shared = place.is_some();
@@ -106,7 +107,7 @@
     }
     let (mut peers, mut lists) = (None, None);
     if let Some(fleet) = fleet {
-        let (asked, driver) = peers::new(fleet, config.seed, upgrade)?;
+        let (asked, driver) = peers::new(fleet, config.seed, upgrade, exchange.clone())?;
         lists = Some(asked.lists());
         peers = Some(asked);
         spawn_local(driver.run());
--- a/node/tests/sockets/fleet.rs
+++ b/node/tests/sockets/fleet.rs
@@ -182,8 +182,10 @@
     node.logs("fleet: has what it needs to vote, 0 keys are known");
     let (me, to) = (NodeId::of("n2"), NodeId::of("n1"));
     let bytes = |frame: &Frame| postcard::to_allocvec(frame).unwrap();
+    let name = "n2".into();
+    let (seconds, kept) = (0, None);
     let hello =
-        Frame::Hello(Hello { name: "n2".into(), to, life: 5, lists: vec![(2, 0)], over: 0, cut: false });
+        Frame::Hello(Hello { name, to, life: 5, lists: vec![(2, 0)], over: 0, cut: false, seconds, kept });
     let claim = ClaimId { node: me, life: 5, number: 1 };
     let asked = Asked { claim, key: "k".into(), body: 1, keep_ms: 3000, lists: vec![1, 2] };
     let later = postcard::to_allocvec(&(KINDS + 1, "of a later build")).unwrap();
--- a/node/tests/sockets/links.rs
+++ b/node/tests/sockets/links.rs
@@ -61,7 +61,7 @@
     client.request(1, "a1", None, LONG);
     vm.apply();
     vm.say("ERROR APPLY a1\r\n");
-    insta::assert_snapshot!(client.line(), @r#"{"jsonrpc":"2.0","id":1,"error":{"code":-32011,"message":"not now","data":{"later":250}}}"#);
+    insta::assert_snapshot!(client.line(), @r#"{"jsonrpc":"2.0","id":1,"error":{"code":-32011,"message":"not now","data":{"later":248}}}"#);
 }
 
 #[test]
--- a/rig/src/check.rs
+++ b/rig/src/check.rs
@@ -280,7 +280,11 @@
                 );
             }
             Event::Late { by } => self.excuses.late.0.push((t - by, t)),
-            Event::Over { .. } | Event::Fault { .. } | Event::Peers { .. } | Event::Role { .. } => {}
+            Event::Over { .. }
+            | Event::Fault { .. }
+            | Event::Peers { .. }
+            | Event::Role { .. }
+            | Event::Said { .. } => {}
         }
     }
 
--- a/rig/src/figures.rs
+++ b/rig/src/figures.rs
@@ -1,6 +1,8 @@
 //! Figures of a history: what was served in time, second by second and in all, how long answers took, and how long
 //! the fleet needed to be back in full service after a fault.
 
+use std::collections::HashMap;
+
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
@@ -87,8 +89,8 @@
     pub p99_ms: f64,
     /// Tries for each request.
     pub tries: f64,
-    /// Connections that front ends opened, a second: in the mean, and at most.
-    pub connected: [f64; 2],
+    /// Connections that front ends opened, a second: in the mean, at most, and at most with one node.
+    pub connected: [f64; 3],
     /// The way back, where there was a fault.
     pub back: Option<Return>,
     /// The most that one program took: memory in KB, and descriptors.
@@ -110,6 +112,7 @@
     let mut asked: Vec<Option<Asked>> = Vec::new();
     let (mut bands, mut most, mut cpu) = (Vec::new(), [0, 0], vec![0; terms.nodes]);
     let (mut cpu_total, mut total_tries, mut firsts) = (0_u64, 0_u64, 0_u64);
+    let (mut with_one, mut busiest) = (HashMap::new(), 0);
     // Three digits of ten minutes in microseconds: these bounds are valid.
     let mut took = Histogram::<u64>::new_with_bounds(1, 600_000_000, 3).ok();
     let second_of = |t: Ms| (t >= 0.0).then_some((t / 1000.0) as usize).filter(|second| *second < count);
@@ -154,9 +157,12 @@
                     seconds[second].tries += 1;
                 }
             }
-            Event::Connected { .. } => {
+            Event::Connected { node, .. } => {
                 if let Some(second) = second_of(seen.t) {
                     seconds[second].connected += 1;
+                    let here = with_one.entry((*node, second)).or_insert(0_u64);
+                    *here += 1;
+                    busiest = busiest.max(*here);
                 }
             }
             Event::Began { .. } => {
@@ -199,6 +205,7 @@
         connected: [
             sum(|s| s.connected as f64) / count as f64,
             seconds.iter().map(|s| s.connected).max().unwrap_or(0) as f64,
+            busiest as f64,
         ],
         back: back(&seconds, &bands),
         most,
--- a/rig/src/history.rs
+++ b/rig/src/history.rs
@@ -197,6 +197,13 @@
         /// The node.
         node: usize,
     },
+    /// A program logged something about the fleet.
+    Said {
+        /// The node.
+        node: usize,
+        /// What.
+        text: String,
+    },
     /// A body, class or reply reached the interpreter changed, or a command was for nothing that came.
     Spoilt {
         /// The node.
--- a/rig/src/machine.rs
+++ b/rig/src/machine.rs
@@ -37,6 +37,10 @@
 const ROLE: &str = "vrrp ";
 /// What a program logs when its votes can be relied on.
 const SOUND: &str = "fleet: has what it needs to vote";
+/// Before what it logs about the fleet.
+const FLEET: &str = " fleet: ";
+/// How a program is told that the system's clock is set.
+const CLOCK: &str = "OAKWIND_REHEARSED_CLOCK";
 /// Where JSON-RPC is served, as the program logs it.
 const SERVED_AT: &str = "JSON-RPC is served at ";
 
@@ -90,6 +94,8 @@
     folder: Folder,
     draw: u64,
     program: Option<String>,
+    clock: Option<String>,
+    old_list: bool,
 }
 
 /// One node.
@@ -116,6 +122,10 @@
     pub place: RefCell<Option<settings::Place>>,
     /// The number of the list that it is told next, and the nodes on it.
     pub list: RefCell<(u64, Vec<usize>)>,
+    /// The one before that.
+    list_before: RefCell<Option<(u64, Vec<usize>)>>,
+    /// How the system's clock is set for its program.
+    clock: RefCell<Option<String>>,
     /// Whether its votes can be relied on, as far as it has said.
     pub sound: Cell<bool>,
     /// Whether the program has said anything since it was started.
@@ -153,6 +163,7 @@
         std::fs::create_dir_all(folder.join("votes"))?;
         let build = world.scenario.fleet.programs.iter().find(|(_, nodes)| nodes.contains(&name));
         let build = build.map(|(build, _)| build.clone());
+        let clock = world.scenario.fleet.clocks.get(&name).cloned();
         let interpreter = Interpreter::new(world.clone(), node, world.scenario.fleet.cold);
         Ok(Rc::new(Machine {
             world,
@@ -167,6 +178,8 @@
             router: RefCell::default(),
             place: RefCell::default(),
             list: RefCell::default(),
+            list_before: RefCell::default(),
+            clock: RefCell::new(clock),
             sound: Cell::new(false),
             speaks: Cell::new(false),
             address: watch::channel(None).0,
@@ -264,7 +277,10 @@
         if self.place.borrow().is_some() {
             command.arg("--fleet").arg(self.write_list()?);
         }
-        command.env_remove("TMPDIR").env_remove("BALANCER_CONFIG");
+        command.env_remove("TMPDIR").env_remove("BALANCER_CONFIG").env_remove(CLOCK);
+        if let Some(clock) = &*self.clock.borrow() {
+            command.env(CLOCK, clock);
+        }
         let (say, mut log) = mpsc::channel::<String>(LOGGED);
         // Once the play is over nobody reads any more.
         let program = Program::start(&mut command, move |line| drop(say.blocking_send(line)))?;
@@ -285,6 +301,9 @@
                 if line.contains(SOUND) {
                     machine.sound.set(true);
                 }
+                if let Some((_, text)) = line.split_once(FLEET) {
+                    machine.world.note(Event::Said { node: machine.node, text: text.into() });
+                }
                 if line.contains(ROLE) {
                     let active = line.ends_with(": Active");
                     machine.world.note(Event::Role { node: machine.node, active });
@@ -318,7 +337,8 @@
 
     /// Tells it of a list, which it reads at once if it runs.
     pub fn takes_list(&self, number: u64, listed: &[usize]) {
-        *self.list.borrow_mut() = (number, listed.to_vec());
+        let before = self.list.replace((number, listed.to_vec()));
+        *self.list_before.borrow_mut() = Some(before).filter(|(old, _)| *old < number);
         // What can't be written is not taken.
         if self.write_list().is_ok() {
             self.reload();
@@ -357,6 +377,10 @@
         if let Some(build) = &back.program {
             *self.build.borrow_mut() = Some(build.clone());
         }
+        *self.clock.borrow_mut() = back.clock.clone();
+        if let Some(before) = self.list_before.borrow_mut().take().filter(|_| back.old_list) {
+            *self.list.borrow_mut() = before;
+        }
         for name in ["remembered", "votes"] {
             let (folder, copy) = (self.folder.join(name), self.folder.join(format!("{name}-copy")));
             match back.folder {
@@ -387,8 +411,9 @@
     }
 
     fn returns(&self, down: Option<Ms>, fault: &Fault, draw: u64) {
-        let program = fault.program.clone();
-        *self.back.borrow_mut() = down.map(|after| Return { after, folder: fault.folder, draw, program });
+        let (program, clock) = (fault.program.clone(), fault.clock.clone());
+        let (folder, old_list) = (fault.folder, fault.old_list);
+        *self.back.borrow_mut() = down.map(|after| Return { after, folder, draw, program, clock, old_list });
     }
 
     /// Kills it with its interpreter; it may come back.
@@ -474,8 +499,14 @@
             self.world.note(Event::Sample { node: self.node, rss_kb, files, cpu_ms });
         }
         if self.interpreter.fallen().is_some() {
-            *self.back.borrow_mut() =
-                Some(Return { after: AFTER_FALL, folder: Folder::Keep, draw: 0, program: None });
+            *self.back.borrow_mut() = Some(Return {
+                after: AFTER_FALL,
+                folder: Folder::Keep,
+                draw: 0,
+                program: None,
+                clock: None,
+                old_list: false,
+            });
             self.end(Ending::Killed);
         }
     }
--- a/rig/src/report.rs
+++ b/rig/src/report.rs
@@ -58,7 +58,7 @@
 }
 
 /// What tables show, in order.
-pub const COLUMNS: [Column; 13] = [
+pub const COLUMNS: [Column; 14] = [
     Column {
         name: "asked/s",
         of: |o| Some(o.figures.asked as f64 / o.figures.seconds.len() as f64),
@@ -73,6 +73,7 @@
     Column { name: "tries", of: |o| Some(o.figures.tries), digits: 2 },
     Column { name: "connections/s", of: |o| Some(o.figures.connected[0]), digits: 1 },
     Column { name: "most/s", of: |o| Some(o.figures.connected[1]), digits: 0 },
+    Column { name: "most/s a node", of: |o| Some(o.figures.connected[2]), digits: 0 },
     Column { name: "back s", of: |o| o.figures.back.as_ref()?.from_start, digits: 0 },
     Column { name: "floor s", of: |o| o.floor, digits: 1 },
     Column { name: "twice", of: |o| Some(o.verdict.twice_in_fleet as f64), digits: 0 },
--- a/rig/src/scenario.rs
+++ b/rig/src/scenario.rs
@@ -107,6 +107,9 @@
     pub vrrp: Option<Vrrp>,
     /// Whether the nodes talk among themselves so that a booking runs once in the fleet.
     pub peers: Option<Replication>,
+    /// Nodes that see the system's clock set by so much, so long after their first start: AT:BY in milliseconds.
+    #[serde(default)]
+    pub clocks: BTreeMap<String, String>,
     /// Nodes that run another build: the name given to `--program NAME=PATH`, and the nodes.
     #[serde(default)]
     pub programs: BTreeMap<String, Vec<String>>,
@@ -400,6 +403,12 @@
     pub traffic: Traffic,
     /// For `restart`: the build that the node has from then on, by the name of `--program`.
     pub program: Option<String>,
+    /// After `kill` and `leave`: the restarted program sees the system's clock set by so much, from so long after its start
+    /// on: AT:BY in milliseconds.
+    pub clock: Option<String>,
+    /// After `kill` and `leave`: the node starts with the list of its fleet before the last.
+    #[serde(default)]
+    pub old_list: bool,
 }
 
 /// An event that a fault waits for: a node has done something so many times.
@@ -684,6 +693,11 @@
                 );
             }
         }
+        for (node, clock) in &fleet.clocks {
+            let key = format!("fleet.clocks.{node}");
+            must(names.contains(node), &key, "there is no such node");
+            must(is_clock(clock), &key, "is not AT:BY in milliseconds");
+        }
         must(!self.classes.is_empty(), "class", "at least one");
         for (i, class) in self.classes.iter().enumerate() {
             let key = |name: &str| format!("class[{i}].{name}");
@@ -779,6 +793,11 @@
         must(fault.part.is_none_or(|part| part > 0.0 && part <= 1.0), "part", "above 0 and at most 1");
         must(fault.what != What::Fronts || fault.part.is_some(), "part", "of the front ends, for `fronts`");
         must(fault.waves >= 1, "waves", "1 or more");
+        must(
+            fault.clock.as_ref().is_none_or(|clock| is_clock(clock)),
+            "clock",
+            "is not AT:BY in milliseconds",
+        );
         let lasts = matches!(
             fault.what,
             What::Stop | What::Slow | What::Partition | What::Link | What::Below | What::Members
@@ -803,6 +822,11 @@
     }
 }
 
+/// Whether this says when and by how much a clock is set.
+fn is_clock(text: &str) -> bool {
+    text.split_once(':').is_some_and(|(at, by)| at.parse::<u64>().is_ok() && by.parse::<i64>().is_ok())
+}
+
 /// A parser's message in one line with the line that it is about.
 fn first_line(message: &str, text: &str, span: Option<std::ops::Range<usize>>) -> String {
     let line = span.map_or(1, |span| text[..span.start.min(text.len())].matches('\n').count() + 1);
@@ -850,7 +874,7 @@
     #[test]
     fn every_mistake_is_a_line_that_names_its_key() {
         let wrong = PLAIN.replace("nodes = 3", "nodes = 0").replace("aim_ms = 100", "aim_ms = 400")
-            + "[[fault]]\nwhat = 'kill'\nnodes = ['n9']\n[[fault]]\nat_s = 3\nwhat = 'stop'\npart = 2.0\n";
+            + "[[fault]]\nwhat = 'kill'\nnodes = ['n9']\nclock = '7'\n[[fault]]\nat_s = 3\nwhat = 'stop'\npart = 2.0\n";
         let mistakes = Scenario::parse(&wrong, &[]).unwrap_err();
         let keys: Vec<&str> = mistakes.iter().filter_map(|line| line.split(": ").next()).collect();
         let wanted = [
@@ -858,6 +882,7 @@
             "class[0].aim_ms",
             "fault[0].at_s",
             "fault[0].nodes",
+            "fault[0].clock",
             "fault[1].part",
             "fault[1].for_s",
         ];
