Record every decision with the versions that it was made by, chained, and audit the records

Need: nobody can say which node decided what by which configuration, nor whether one that missed a change goes on with the old one. This is the part of the audit that rests on nothing else: records, and the commands that read them. Versions that spread, rollouts and the shutting out of stragglers are not in it.

Change: with `--records FILE` a thread writes what became of each try, and each run's beginning, with the digest of the settings, the number of the fleet's list and the build. Lines are numbered and chained by digest, files are bounded; what the disk can't take in time is dropped and counted, and no request waits. `oakwind fleet audit` says of each folder whether its chain is whole, of each version who used it when and what replaced it, who went on with an old one and for how long, what ran twice; `oakwind fleet explain` follows a try or a key. Decisions are in `fleet/src/chain.rs` and `audit.rs`, without I/O. Off, no thread and nothing made.

Checked: every byte of small files, changed and cut, over several files and processes, is found; what a killed process left unfinished is no edit. Over sockets: a node's runs, answers and a run that no server took; a node that stays with old settings among two that don't.

The rig draws tables of numbers as charts, and writes no try whose client no longer waits.

--- a/examples/measure.rs
+++ b/examples/measure.rs
@@ -1,8 +1,8 @@
-//! Measures what it costs to let keys outlast the process: starts the real program with a stand-in interpreter and a
-//! client of its own, and prints a table. Not part of the tests; [`docs/remembered.md`](../docs/remembered.md) keeps a
-//! result.
+//! Measures what it costs to let keys outlast the process, or to keep records of what is decided: starts the real program
+//! with a stand-in interpreter and a client of its own, and prints a table. Not part of the tests;
+//! [`docs/remembered.md`](../docs/remembered.md) and [`docs/audit.md`](../docs/audit.md) keep results.
 //!
-//!     cargo build --release && cargo run --release --example measure -- FOLDER
+//!     cargo build --release && cargo run --release --example measure -- FOLDER [records]
 //!
 //! FOLDER is made, on the disk that is to be measured, and removed.
 
@@ -26,6 +26,8 @@
 /// Requests of one measurement, by how many are open at a time.
 const COUNTS: [(usize, usize); 2] = [(1, 2_000), (32, 20_000)];
 const ENTRIES: [usize; 3] = [1_000, 10_000, 40_000];
+/// Turns of both sides, where two are compared.
+const TURNS: usize = 3;
 /// A result of the size that front ends take at the most.
 const LARGE: usize = 4 * 1024;
 
@@ -36,36 +38,28 @@
     };
     std::fs::create_dir_all(&folder)?;
     let folder = folder.canonicalize()?;
-    println!(
-        "| keys outlast | open at a time | a second | median ms | 99 of 100 ms | cores' time a request, us |"
-    );
-    println!("| --- | --- | --- | --- | --- | --- |");
-    for (name, batch) in
-        [("off", None), ("on, each waits alone", Some(1)), ("on, waits are shared", Some(1024))]
-    {
-        for (open, count) in COUNTS {
-            let mut node = Node::start(&folder, batch, 0)?;
-            let (cpu, began) = (node.cpu()?, Instant::now());
-            let mut times = node.book(open, count)?.0;
-            let (took, cpu) = (began.elapsed().as_secs_f64(), node.cpu()? - cpu);
-            times.sort();
-            let at = |part: f64| times[(times.len() as f64 * part) as usize].as_secs_f64() * 1e3;
-            let (rate, each) = (count as f64 / took, cpu * 1e6 / count as f64);
-            println!("| {name} | {open} | {rate:.0} | {:.2} | {:.2} | {each:.0} |", at(0.5), at(0.99));
-            node.end(&folder)?;
-        }
+    if std::env::args().nth(2).is_some_and(|what| what == "records") {
+        let sides = [("off", Keeps::Nothing), ("on", Keeps::Records)];
+        (0..TURNS).try_for_each(|_| costs("records", &sides, &folder))?;
+        return std::fs::remove_dir(&folder);
     }
+    let sides = [
+        ("off", Keeps::Nothing),
+        ("on, each waits alone", Keeps::Keys(1)),
+        ("on, waits are shared", Keeps::Keys(1024)),
+    ];
+    costs("keys outlast", &sides, &folder)?;
     println!("\n| keys in the folder | bytes of it | start to listening, ms |\n| --- | --- | --- |");
     for count in ENTRIES {
-        let mut node = Node::start(&folder, Some(1024), 0)?;
+        let mut node = Node::start(&folder, Keeps::Keys(1024), 0)?;
         node.book(32, count)?;
         drop(node);
         let bytes = size(&folder)?;
-        let node = Node::start(&folder, Some(1024), 0)?;
+        let node = Node::start(&folder, Keeps::Keys(1024), 0)?;
         println!("| {count} | {bytes} | {:.0} |", node.started.as_secs_f64() * 1e3);
         node.end(&folder)?;
     }
-    let mut node = Node::start(&folder, Some(1024), LARGE)?;
+    let mut node = Node::start(&folder, Keeps::Keys(1024), LARGE)?;
     let begun = node.peak()?;
     let served = node.book(32, 50_000)?.1;
     println!("\nAt the bound of memory (192 MB for the process): {served} results of {LARGE} bytes are kept and all more");
@@ -78,6 +72,36 @@
     std::fs::remove_dir(&folder)
 }
 
+/// What the program keeps in the folder.
+#[derive(Clone, Copy)]
+enum Keeps {
+    Nothing,
+    /// Keys and results; so many records may share a wait for the disk.
+    Keys(usize),
+    /// Records of what it decides.
+    Records,
+}
+
+/// What a booking costs on each side.
+fn costs(what: &str, sides: &[(&str, Keeps)], folder: &Path) -> io::Result<()> {
+    println!("| {what} | open at a time | a second | median ms | 99 of 100 ms | cores' time a request, us |");
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for (name, keeps) in sides {
+        for (open, count) in COUNTS {
+            let mut node = Node::start(folder, *keeps, 0)?;
+            let (cpu, began) = (node.cpu()?, Instant::now());
+            let mut times = node.book(open, count)?.0;
+            let (took, cpu) = (began.elapsed().as_secs_f64(), node.cpu()? - cpu);
+            times.sort();
+            let at = |part: f64| times[(times.len() as f64 * part) as usize].as_secs_f64() * 1e3;
+            let (rate, each) = (count as f64 / took, cpu * 1e6 / count as f64);
+            println!("| {name} | {open} | {rate:.0} | {:.2} | {:.2} | {each:.0} |", at(0.5), at(0.99));
+            node.end(folder)?;
+        }
+    }
+    Ok(())
+}
+
 /// Bytes of all files in a folder.
 fn size(folder: &Path) -> io::Result<u64> {
     std::fs::read_dir(folder)?.map(|entry| Ok(entry?.metadata()?.len())).sum()
@@ -92,7 +116,7 @@
 }
 
 impl Node {
-    fn start(folder: &Path, batch: Option<usize>, result: usize) -> io::Result<Node> {
+    fn start(folder: &Path, keeps: Keeps, result: usize) -> io::Result<Node> {
         let vm = TcpListener::bind("127.0.0.1:0")?;
         let (own, number) = (std::env::temp_dir(), std::process::id());
         let (config, remembered) =
@@ -105,10 +129,14 @@
         let program = std::env::current_exe()?.with_file_name("").join("../oakwind");
         let mut command = Command::new(program);
         command.arg("serve").arg("--config").arg(&config).env_remove("TMPDIR").stderr(Stdio::piped());
-        if let Some(batch) = batch {
-            let text = format!("folder = '{}'\nbatch = {batch}\nfile_mb = 128\n", folder.display());
-            std::fs::write(&remembered, text)?;
-            command.arg("--remembered").arg(&remembered);
+        let file = match keeps {
+            Keeps::Nothing => None,
+            Keeps::Keys(batch) => Some(("--remembered", format!("batch = {batch}\nfile_mb = 128\n"))),
+            Keeps::Records => Some(("--records", String::new())),
+        };
+        if let Some((option, more)) = file {
+            std::fs::write(&remembered, format!("folder = '{}'\n{more}", folder.display()))?;
+            command.arg(option).arg(&remembered);
         }
         let began = Instant::now();
         let mut child = command.spawn()?;
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -3,14 +3,17 @@
 //! safe ([`claims`]), who is heard ([`members`]), whether what a node kept is the last that was known of it ([`marks`]), and
 //! what it has to learn when it comes back ([`catchup`]),
 //! in which stages that is ([`way`]).
-//! [`node`] puts them together.
+//! [`node`] puts them together. Apart from that, [`audit`] says what the records of all nodes tell, and [`chain`] whether they
+//! are as they were written.
 //!
 //! There is no clock, socket, thread or random source here: time and events come in, actions go out, and random numbers
 //! come from a seed. `docs/replication.md` has the reasons.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod audit;
 pub mod catchup;
+pub mod chain;
 pub mod claims;
 pub mod copies;
 pub mod frame;
--- a/node/src/config.rs
+++ b/node/src/config.rs
@@ -78,6 +78,8 @@
     pub remembered: Option<PathBuf>,
     /// The file that makes the node one of a fleet whose nodes talk.
     pub fleet: Option<PathBuf>,
+    /// The file that makes the node keep records of what it decides.
+    pub records: Option<PathBuf>,
 }
 
 /// All that a node is told.
@@ -91,6 +93,8 @@
     pub remembered: Option<Remembered>,
     /// The fleet.
     pub fleet: Option<Fleet>,
+    /// Where what is decided is recorded.
+    pub records: Option<Records>,
 }
 
 impl Files {
@@ -125,7 +129,8 @@
                 ));
             }
         }
-        Ok(Told { config, uwsgi, remembered, fleet })
+        let records = self.records.as_deref().map(Records::read).transpose()?;
+        Ok(Told { config, uwsgi, remembered, fleet, records })
     }
 
     /// The same for a start: a node has to be on the list that it begins with.
@@ -447,6 +452,57 @@
     }
 }
 
+/// Where what is decided is recorded.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Records {
+    /// A folder of this node alone.
+    pub folder: PathBuf,
+    /// Bytes of a file, about.
+    pub file: u64,
+    /// Files that are kept.
+    pub files: usize,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct RawRecords {
+    folder: PathBuf,
+    #[serde(default = "usual_record_mb")]
+    file_mb: u64,
+    #[serde(default = "usual_record_files")]
+    files: usize,
+}
+
+fn usual_record_mb() -> u64 {
+    8
+}
+
+fn usual_record_files() -> usize {
+    8
+}
+
+impl Records {
+    /// Reads the text of a file.
+    pub fn parse(text: &str) -> Result<Self, BadConfig> {
+        let RawRecords { folder, file_mb, files } = operators_file("records", text)?;
+        if !folder.is_absolute() {
+            return bad(format!("records file, folder: {}: an absolute path is needed", folder.display()));
+        }
+        if !(1..=1024).contains(&file_mb) {
+            return bad("records file, file_mb: 1 to 1024 are possible");
+        }
+        if !(2..=1000).contains(&files) {
+            return bad("records file, files: 2 to 1000 are possible");
+        }
+        Ok(Records { folder, file: file_mb * 1024 * 1024, files })
+    }
+
+    /// Reads the file.
+    pub fn read(path: &Path) -> Result<Self, BadConfig> {
+        Records::parse(&text_of(path)?)
+    }
+}
+
 /// The fleet that a node is one of.
 #[derive(Debug, Clone)]
 pub struct Fleet {
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -25,6 +25,7 @@
 use crate::fate::{digest, Fate, Kept, Key, KeyRecord};
 use crate::keeper::{Keeper, Run, Word};
 use crate::log;
+use crate::records::Recorder;
 use keys::{Keys, Linked};
 
 /// The gauges are asked for this long before the timer that they go with, as the answer takes a moment.
@@ -120,6 +121,8 @@
     turned: Cell<u64>,
     /// How far time had jumped ahead when that was last looked at.
     jumped: Duration,
+    /// Records of what is decided, if operators want them.
+    records: Option<Recorder>,
 }
 
 impl Core {
@@ -147,6 +150,7 @@
             keeper: Keeper::default(),
             turned: Cell::new(0),
             jumped: Duration::ZERO,
+            records: None,
         }
     }
 
@@ -164,6 +168,29 @@
         }
     }
 
+    /// What is decided from now on is recorded.
+    pub fn record(&mut self, records: Recorder) {
+        let tally = records.tally.clone();
+        self.ends.figures.also(Box::new(move || tally.all()));
+        self.records = Some(records);
+    }
+
+    /// Records something of a try, where that is wanted, by the versions of the moment.
+    fn recorded(&self, request: &Request, record: impl FnOnce(&Recorder, &str, bool)) {
+        let Some(records) = &self.records else { return };
+        records.list(self.keeper.list());
+        let class = usize::from(request.class);
+        let name = self.settings.classes.get(class).map_or("", String::as_str);
+        let keyed = self.settings.settings.classes.get(class).is_some_and(|c| c.effect == Effect::Keyed);
+        record(records, name, keyed);
+    }
+
+    /// Ends a request that was not taken on.
+    fn turn(&self, request: &Request, ticket: Ticket, outcome: Outcome) {
+        self.recorded(request, |records, class, keyed| records.answered(&outcome, request, class, keyed));
+        ticket.answer(outcome);
+    }
+
     /// Serves until every other end of the exchange is gone.
     pub async fn run(mut self) {
         loop {
@@ -269,10 +296,11 @@
             Input::Submitted(request, claim, ticket) => self.submitted(request, claim, ticket),
             Input::Gone(claim) => self.gone(&claim),
             Input::Drain(stop) => self.drain(stop),
-            Input::Retune(settings) => {
+            Input::Retune(settings, digest) => {
                 // What has come by now is decided by the settings that it came under.
                 self.decide(clock::now());
                 self.settings = *settings;
+                self.records.iter().for_each(|records| records.settings(digest.clone()));
                 if let Some(admission) = &mut self.admission {
                     admission.retune(decided_by(&self.settings));
                 }
@@ -325,7 +353,7 @@
         // Guards against an id that is used twice while it is open: the links could not tell the two apart.
         if self.by_txn.contains_key(&request.txn) {
             log!("request {:?} came again while it is open", request.txn);
-            return ticket.answer(Outcome::Failed { overdue: false });
+            return self.turn(&request, ticket, Outcome::Failed { overdue: false });
         }
         let now = clock::now();
         let key = self.key_of(&request);
@@ -333,7 +361,7 @@
             // Guards a request that has run against a refusal, which would say that it has not.
             let kept = key.as_ref().filter(|_| !self.ends.state.borrow().inheriting);
             let outcome = kept.and_then(|key| self.known_before(key, &request, now));
-            return ticket.answer(outcome.unwrap_or_else(|| self.not_now()));
+            return self.turn(&request, ticket, outcome.unwrap_or_else(|| self.not_now()));
         }
         if key.is_some() && self.ends.state.borrow().inheriting {
             return self.held_back.push(Input::Submitted(request, claim, ticket));
@@ -341,15 +369,15 @@
         // Guards against a second run of what a damaged record may have told of.
         if key.as_ref().is_some_and(|key| self.in_doubt(key, now)) {
             log!("request {:?} has a key that may have run: what tells of it is damaged", request.txn);
-            return ticket.answer(Outcome::Failed { overdue: false });
+            return self.turn(&request, ticket, Outcome::Failed { overdue: false });
         }
         // Guards against a run here and one in the process that took over, which would not know of this key.
         if key.as_ref().is_some_and(|key| self.heir_told() && !self.keys.knows(key)) {
-            return ticket.answer(self.not_now());
+            return self.turn(&request, ticket, self.not_now());
         }
         if key.as_ref().is_some_and(|key| self.keys.full() && !self.keys.knows(key)) {
             log!("no room to remember one more key");
-            return ticket.answer(self.not_now());
+            return self.turn(&request, ticket, self.not_now());
         }
         // Guards against two tries of one key in one batch: the second is linked to what became of the first.
         if key.as_ref().is_some_and(|key| self.keys.in_batch(key)) {
@@ -361,7 +389,7 @@
                 Linked::To(prior) => Some(prior),
                 Linked::Elsewhere => {
                     log!("request {:?} came with the key of another body", request.txn);
-                    return ticket.answer(Outcome::Mismatched);
+                    return self.turn(&request, ticket, Outcome::Mismatched);
                 }
             };
         let id = self.new_id();
@@ -619,7 +647,7 @@
     fn run_over(&mut self, id: RequestId, end: End) {
         let now = clock::now();
         let Some(taken) = self.tries.get(&id) else { return };
-        let txn = taken.request.txn.clone();
+        let (txn, request) = (taken.request.txn.clone(), taken.request.clone());
         let since = match taken.phase {
             Phase::Held | Phase::Joining { .. } | Phase::Elsewhere => return,
             Phase::Running { since } | Phase::AtCall { since, .. } => since,
@@ -628,6 +656,9 @@
                 since
             }
         };
+        if end == End::NeverRan {
+            self.recorded(&request, |records, class, keyed| records.never_ran(&request, class, keyed));
+        }
         let (outcome, answer, kept) = match end {
             End::Done(result) => {
                 // Kept results outlive the buffer that they were read into.
@@ -812,6 +843,7 @@
             log!("no room for one more command to what runs requests");
             return self.run_ended(&request.txn, End::NeverRan);
         }
+        self.recorded(&request, |records, class, keyed| records.runs(&request, class, keyed));
         self.ends.figures.sent(request.class);
     }
 
@@ -837,7 +869,8 @@
     fn answer(&mut self, id: RequestId, outcome: Outcome) {
         let Some(taken) = self.tries.get_mut(&id) else { return };
         if let Some(ticket) = taken.ticket.take() {
-            ticket.answer(outcome);
+            let request = taken.request.clone();
+            self.turn(&request, ticket, outcome);
         }
     }
 
--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -116,8 +116,8 @@
     Away(bool),
     /// The way back of this node holds front ends off, or lets them come.
     Hold(bool),
-    /// Other settings hold from now on, which follow the ones before.
-    Retune(Box<Parsed>),
+    /// Other settings hold from now on, which follow the ones before; and the digest that they go by in records.
+    Retune(Box<Parsed>, String),
     /// A new process takes over; it is told here what this one knows.
     HandOver(mpsc::Sender<Estate>),
     /// That process has gone.
@@ -342,8 +342,8 @@
     }
 
     /// Other settings hold from now on, which follow the ones before.
-    pub async fn retune(&self, settings: Parsed) {
-        self.tell(Input::Retune(Box::new(settings))).await;
+    pub async fn retune(&self, settings: Parsed, digest: String) {
+        self.tell(Input::Retune(Box::new(settings), digest)).await;
     }
 
     /// A new process takes over, and is told there what this one knows.
--- a/node/src/keeper.rs
+++ b/node/src/keeper.rs
@@ -104,6 +104,11 @@
         self.folder.is_some() || self.peers.is_some()
     }
 
+    /// The number of the list that the fleet goes by; 0 without one.
+    pub fn list(&self) -> u64 {
+        self.peers.as_ref().map_or(0, |peers| peers.shown.list.get())
+    }
+
     /// Whether a key that is not known may have run, as far as damage tells.
     pub fn doubts(&self, key: &[u8], now: Unix) -> bool {
         self.folder.as_ref().is_some_and(|folder| folder.doubts.doubts(key, now))
--- a/node/src/main.rs
+++ b/node/src/main.rs
@@ -4,6 +4,7 @@
 
 mod backends;
 mod clock;
+mod commands;
 mod config;
 mod core;
 mod exchange;
@@ -20,6 +21,7 @@
 mod names;
 mod operators;
 mod peers;
+mod records;
 mod remembered;
 mod serve;
 mod uwsgi;
@@ -43,6 +45,7 @@
 enum Command {
     Serve(Serve),
     Check(Check),
+    Fleet(commands::Fleet),
     Version(Version),
 }
 
@@ -62,6 +65,9 @@
     /// a file that makes the node one of a fleet whose nodes talk, such as deploy/fleet.toml
     #[argh(option)]
     fleet: Option<PathBuf>,
+    /// a file that makes the node keep records of what it decides, such as deploy/records.toml
+    #[argh(option)]
+    records: Option<PathBuf>,
 }
 
 /// Read the configuration and say whether it can be served.
@@ -80,6 +86,9 @@
     /// a file that makes the node one of a fleet whose nodes talk, such as deploy/fleet.toml
     #[argh(option)]
     fleet: Option<PathBuf>,
+    /// a file that makes the node keep records of what it decides, such as deploy/records.toml
+    #[argh(option)]
+    records: Option<PathBuf>,
 }
 
 /// Print the version.
@@ -90,20 +99,23 @@
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     let done = match arguments.command {
-        Command::Serve(Serve { config, uwsgi, remembered, fleet }) => {
-            serve::serve(&Files { config, uwsgi, remembered, fleet })
+        Command::Serve(Serve { config, uwsgi, remembered, fleet, records }) => {
+            serve::serve(&Files { config, uwsgi, remembered, fleet, records }).map(|()| true)
         }
-        Command::Check(Check { config, uwsgi, remembered, fleet }) => {
-            let checked = Files { config, uwsgi, remembered, fleet }.read_for_start();
-            checked.map(|told| println!("{}: can be served", told.config.name)).map_err(|e| e.to_string())
+        Command::Check(Check { config, uwsgi, remembered, fleet, records }) => {
+            let checked = Files { config, uwsgi, remembered, fleet, records }.read_for_start();
+            let told = checked.map(|told| println!("{}: can be served", told.config.name));
+            told.map(|()| true).map_err(|e| e.to_string())
         }
+        Command::Fleet(asked) => commands::run(&asked),
         Command::Version(Version {}) => {
             println!("oakwind {}", env!("CARGO_PKG_VERSION"));
-            Ok(())
+            Ok(true)
         }
     };
     match done {
-        Ok(()) => ExitCode::SUCCESS,
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
         Err(problem) => {
             eprintln!("oakwind: {problem}");
             ExitCode::FAILURE
--- a/node/src/peers/mod.rs
+++ b/node/src/peers/mod.rs
@@ -81,6 +81,8 @@
 #[derive(Debug, Default)]
 pub struct Shown {
     figures: Cell<Figures>,
+    /// The number of the list that it goes by.
+    pub list: Cell<u64>,
     others: RefCell<Vec<(&'static str, u64)>>,
 }
 
@@ -527,6 +529,7 @@
 
     fn show(&self, shown: &Shown) {
         shown.figures.set(self.fleet.figures());
+        shown.list.set(self.fleet.lists().newest().number());
         let (counts, traffic) = (self.fleet.counts(), &self.links.traffic);
         let (keys, bytes) = self.fleet.copies().size();
         let mut others = shown.others.borrow_mut();
--- /dev/null
+++ b/node/src/records.rs
@@ -0,0 +1,414 @@
+//! Records of what was decided of each try, and by which versions, in files of a folder that are bounded and chained. A
+//! thread of its own writes them: nobody waits for the disk, and what it can't take in time is dropped and counted.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::fs::{self, File, TryLockError};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::mpsc::{sync_channel, Receiver, SyncSender};
+use std::sync::Arc;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use oakwind_fleet::audit::{Decided, Journal, Record, Versions};
+use oakwind_fleet::chain::{self, Break, Chain, Wrong};
+use serde_json::Value;
+use sha2::{Digest, Sha256};
+
+use crate::clock;
+use crate::config::Records as Config;
+use crate::exchange::{Outcome, Request};
+use crate::log;
+
+/// Records that may wait for the disk; more are dropped.
+const WAITING: usize = 8192;
+/// Records that share one write.
+const BATCH: usize = 512;
+/// Between two attempts to open a folder that the process before still has.
+const AGAIN: Duration = Duration::from_millis(50);
+/// This process alone writes in the folder.
+const LOCK: &str = "lock";
+/// Where the chain ends, as far as it was written, and what that is called while it is written itself.
+const END: &str = "end";
+const UNFINISHED: &str = "end-new";
+/// What files of records end in.
+const KIND: &str = "log";
+
+/// What operators see of it.
+#[derive(Debug, Default)]
+pub struct Tally {
+    written: AtomicU64,
+    dropped: AtomicU64,
+    bytes: AtomicU64,
+}
+
+impl Tally {
+    /// All of them by name.
+    pub fn all(&self) -> Vec<(&'static str, u64)> {
+        let figures = [
+            ("records_written", &self.written),
+            ("records_dropped", &self.dropped),
+            ("records_bytes", &self.bytes),
+        ];
+        figures.map(|(name, value)| (name, value.load(Ordering::Relaxed))).into()
+    }
+}
+
+/// The digest by which settings are told apart: the same wherever they say the same.
+pub fn digest_of(settings: &Value) -> String {
+    let digest = Sha256::digest(settings.to_string().as_bytes());
+    digest.iter().take(8).map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// The way to the thread that writes.
+pub struct Recorder {
+    orders: Option<SyncSender<Record>>,
+    thread: Option<JoinHandle<()>>,
+    by: RefCell<Versions>,
+    /// What was dropped and is still to be recorded.
+    missed: Arc<AtomicU64>,
+    /// The process ends: a folder that is not open by now is not waited for.
+    over: Arc<AtomicBool>,
+    /// What operators see.
+    pub tally: Arc<Tally>,
+}
+
+impl Recorder {
+    /// Begins to record what this node decides by these settings.
+    ///
+    /// # Errors
+    ///
+    /// One line that names the key in the file.
+    pub fn start(config: &Config, node: &str, settings: String) -> Result<Recorder, String> {
+        let problem = |e: io::Error| format!("records file, folder: {}: {e}", config.folder.display());
+        // A process before this one may still have it: that is waited for, by the thread.
+        let lock = File::options().write(true).create(true).truncate(false).open(config.folder.join(LOCK));
+        let lock = lock.map_err(problem)?;
+        let by = Versions { settings, list: 0, program: env!("CARGO_PKG_VERSION").into() };
+        let (orders, waiting) = sync_channel(WAITING);
+        let (missed, tally) = (Arc::<AtomicU64>::default(), Arc::<Tally>::default());
+        let began = Record::Began { at: clock::millis(clock::now()), node: node.into(), by: by.clone() };
+        let over = Arc::<AtomicBool>::default();
+        let (config, missing, counted, ends) = (config.clone(), missed.clone(), tally.clone(), over.clone());
+        let thread = std::thread::Builder::new().name("records".into()).spawn(move || {
+            let opened = wait_for(&lock, &ends);
+            let written = opened.and_then(|opened| match opened {
+                true => write_all(&config, began, &waiting, &missing, &counted),
+                false => Ok(()),
+            });
+            if let Err(e) = written {
+                log!("records: {}: {e}; nothing more is kept", config.folder.display());
+            }
+        });
+        let thread = thread.map_err(|e| format!("no thread for the records: {e}"))?;
+        let by = RefCell::new(by);
+        Ok(Recorder { orders: Some(orders), thread: Some(thread), by, missed, over, tally })
+    }
+
+    /// Other settings hold from now on.
+    pub fn settings(&self, digest: String) {
+        self.by.borrow_mut().settings = digest;
+    }
+
+    /// The fleet goes by this list.
+    pub fn list(&self, number: u64) {
+        if self.by.borrow().list != number {
+            self.by.borrow_mut().list = number;
+        }
+    }
+
+    /// The run of a try begins.
+    pub fn runs(&self, request: &Request, class: &str, keyed: bool) {
+        self.tried(Decided::Run, request, class, keyed);
+    }
+
+    /// The run of a try provably never began.
+    pub fn never_ran(&self, request: &Request, class: &str, keyed: bool) {
+        self.tried(Decided::Unrun, request, class, keyed);
+    }
+
+    /// A try was answered.
+    pub fn answered(&self, outcome: &Outcome, request: &Request, class: &str, keyed: bool) {
+        let did = match outcome {
+            Outcome::Served(_) => Decided::Served,
+            Outcome::Refused { .. } => Decided::Refused,
+            Outcome::Failed { .. } | Outcome::Mismatched => Decided::Failed,
+        };
+        self.tried(did, request, class, keyed);
+    }
+
+    fn tried(&self, did: Decided, request: &Request, class: &str, keyed: bool) {
+        let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+        let record = Record::Try {
+            at: clock::millis(clock::now()),
+            did,
+            txn: text(&request.txn),
+            key: request.key.as_deref().filter(|_| keyed).map(text),
+            class: class.into(),
+            by: self.by.borrow().clone(),
+        };
+        if self.orders.as_ref().is_none_or(|orders| orders.try_send(record).is_err()) {
+            self.missed.fetch_add(1, Ordering::Relaxed);
+            self.tally.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Drop for Recorder {
+    /// What waits is written before the process ends; a disk that stands still then is left alone by the platform's stop.
+    fn drop(&mut self) {
+        self.orders = None;
+        self.over.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            // It logs what went wrong itself.
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Waits until no other process has the folder; false if this one ends before.
+fn wait_for(lock: &File, ends: &AtomicBool) -> io::Result<bool> {
+    loop {
+        match lock.try_lock() {
+            Ok(()) => return Ok(true),
+            Err(TryLockError::WouldBlock) if ends.load(Ordering::Relaxed) => return Ok(false),
+            Err(TryLockError::WouldBlock) => std::thread::sleep(AGAIN),
+            Err(TryLockError::Error(e)) => return Err(e),
+        }
+    }
+}
+
+/// Writes until nobody has anything more to say.
+fn write_all(
+    config: &Config,
+    began: Record,
+    orders: &Receiver<Record>,
+    missed: &AtomicU64,
+    tally: &Tally,
+) -> io::Result<()> {
+    let mut files = Files::open(config)?;
+    files.append(&[began], tally)?;
+    while let Ok(first) = orders.recv() {
+        let mut batch = vec![first];
+        batch.extend(orders.try_iter().take(BATCH));
+        let count = missed.swap(0, Ordering::Relaxed);
+        if count > 0 {
+            batch.push(Record::Dropped { at: clock::millis(clock::now()), count });
+        }
+        files.append(&batch, tally)?;
+    }
+    files.append(&[Record::Ended { at: clock::millis(clock::now()) }], tally)
+}
+
+/// The files of a folder, the oldest first, by the number of their first record.
+fn files(folder: &Path) -> io::Result<BTreeMap<u64, PathBuf>> {
+    let mut found = BTreeMap::new();
+    for entry in fs::read_dir(folder)? {
+        let path = entry?.path();
+        let number =
+            path.file_stem().and_then(|stem| stem.to_str()).and_then(|stem| stem.parse::<u64>().ok());
+        if let Some(number) = number.filter(|_| path.extension().is_some_and(|kind| kind == KIND)) {
+            found.insert(number, path);
+        }
+    }
+    Ok(found)
+}
+
+/// The files that this process writes: each process begins one of its own, so that what the one before left unfinished stays
+/// as it is.
+struct Files {
+    folder: PathBuf,
+    chain: Chain,
+    file: Option<File>,
+    bytes: u64,
+    most_bytes: u64,
+    most_files: usize,
+}
+
+impl Files {
+    fn open(config: &Config) -> io::Result<Files> {
+        let mut chain = Chain::default();
+        if let Some((first, last)) = files(&config.folder)?.pop_last() {
+            chain = Chain::before(first);
+            chain::read(&String::from_utf8_lossy(&fs::read(last)?), &mut chain);
+        }
+        Ok(Files {
+            folder: config.folder.clone(),
+            chain,
+            file: None,
+            bytes: 0,
+            most_bytes: config.file,
+            most_files: config.files,
+        })
+    }
+
+    fn append(&mut self, records: &[Record], tally: &Tally) -> io::Result<()> {
+        let (first, mut text) = (self.chain.end().0 + 1, String::new());
+        for record in records {
+            // Everything in a record can be written.
+            let line = serde_json::to_string(record).unwrap_or_default();
+            self.chain.seal(&line, &mut text);
+        }
+        let mut file = match self.file.take().filter(|_| self.bytes < self.most_bytes) {
+            Some(file) => file,
+            None => self.next_file(first)?,
+        };
+        file.write_all(text.as_bytes())?;
+        self.file = Some(file);
+        self.bytes += text.len() as u64;
+        let (number, digest) = self.chain.end();
+        let unfinished = self.folder.join(UNFINISHED);
+        fs::write(&unfinished, format!("{number} {digest}\n"))?;
+        fs::rename(&unfinished, self.folder.join(END))?;
+        tally.written.fetch_add(records.len() as u64, Ordering::Relaxed);
+        tally.bytes.fetch_add(text.len() as u64, Ordering::Relaxed);
+        Ok(())
+    }
+
+    fn next_file(&mut self, first: u64) -> io::Result<File> {
+        let mut old = files(&self.folder)?;
+        while old.len() >= self.most_files {
+            let Some((_, oldest)) = old.pop_first() else { break };
+            fs::remove_file(oldest)?;
+        }
+        self.bytes = 0;
+        let path = self.folder.join(format!("{first:012}.{KIND}"));
+        File::options().append(true).create_new(true).open(path)
+    }
+}
+
+/// Reads what a node's folder holds.
+///
+/// # Errors
+///
+/// Where it can't be read.
+pub fn read(folder: &Path) -> io::Result<Journal> {
+    let name = folder.file_name().map(|name| name.to_string_lossy().into_owned()).unwrap_or_default();
+    let mut journal = Journal { node: name, ..Journal::default() };
+    let all = files(folder)?;
+    let mut chain = all.first_key_value().map_or(Chain::default(), |(first, _)| Chain::before(*first));
+    let mut named = false;
+    for path in all.into_values() {
+        let file = path.file_name().map(|name| name.to_string_lossy().into_owned()).unwrap_or_default();
+        let text = String::from_utf8_lossy(&fs::read(&path)?).into_owned();
+        let read = chain::read(&text, &mut chain);
+        for (_, line) in read.records {
+            // A later build may know other records.
+            let Ok(record) = serde_json::from_str::<Record>(line) else { continue };
+            if let (Record::Began { node, .. }, false) = (&record, named) {
+                (journal.node, named) = (node.clone(), true);
+            }
+            journal.records.push(record);
+        }
+        // One that was being written when its process ended is no edit: what comes behind it goes on before it.
+        let edits = read.breaks.into_iter().filter(|broken| broken.what != Wrong::Unfinished);
+        journal.breaks.extend(edits.map(|broken| (file.clone(), broken)));
+    }
+    let end = fs::read_to_string(folder.join(END)).ok();
+    let end = end.as_deref().and_then(|text| text.split(' ').next()?.parse::<u64>().ok());
+    if let Some(due) = end.filter(|end| *end > chain.end().0) {
+        let what = Wrong::Cut(due);
+        journal.breaks.push((END.into(), Break { line: 1, what }));
+    }
+    Ok(journal)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn config(name: &str, file: u64, files: usize) -> Config {
+        let folder = std::env::temp_dir().join(format!("oakwind-records-{}-{name}", std::process::id()));
+        fs::create_dir_all(&folder).unwrap();
+        Config { folder, file, files }
+    }
+
+    fn by() -> Versions {
+        Versions { settings: "s".into(), list: 0, program: "1".into() }
+    }
+
+    fn tried(txn: String) -> Record {
+        Record::Try { at: 5, did: Decided::Run, txn, key: None, class: "quote".into(), by: by() }
+    }
+
+    /// A process that writes so many records, and may be killed behind them.
+    fn process(config: &Config, count: usize, killed: bool) {
+        let mut files = Files::open(config).unwrap();
+        let tally = Tally::default();
+        files.append(&[Record::Began { at: 1, node: "n1".into(), by: by() }], &tally).unwrap();
+        for i in 0..count {
+            files.append(&[tried(format!("{i:x}"))], &tally).unwrap();
+        }
+        if !killed {
+            files.append(&[Record::Ended { at: 9 }], &tally).unwrap();
+        }
+    }
+
+    #[test]
+    fn processes_go_on_with_one_chain_in_a_bounded_number_of_files() {
+        let config = config("chain", 400, 3);
+        process(&config, 2, false);
+        process(&config, 3, true);
+        let journal = read(&config.folder).unwrap();
+        assert_eq!((journal.node.as_str(), journal.records.len(), journal.breaks.len()), ("n1", 8, 0));
+        process(&config, 40, false);
+        let journal = read(&config.folder).unwrap();
+        assert!(journal.breaks.is_empty(), "{:?}", journal.breaks);
+        assert!(files(&config.folder).unwrap().len() == 3 && journal.records.len() < 20);
+        assert!(matches!(journal.records.last(), Some(Record::Ended { .. })));
+        fs::remove_dir_all(&config.folder).unwrap();
+    }
+
+    /// Small files, every byte: changed, and cut there.
+    #[test]
+    fn an_edit_or_a_cut_of_any_byte_of_any_file_is_found() {
+        let config = config("edits", 300, 8);
+        process(&config, 4, true);
+        process(&config, 1, false);
+        let all = files(&config.folder).unwrap();
+        assert!(read(&config.folder).unwrap().breaks.is_empty() && all.len() > 2);
+        for path in all.values() {
+            let whole = fs::read(path).unwrap();
+            let first = all.values().next() == Some(path);
+            for at in 0..whole.len() {
+                let mut edited = whole.clone();
+                edited[at] ^= 1;
+                fs::write(path, &edited).unwrap();
+                assert!(!read(&config.folder).unwrap().breaks.is_empty(), "{path:?}, byte {at} changed");
+                fs::write(path, &whole[..at]).unwrap();
+                assert!(!read(&config.folder).unwrap().breaks.is_empty(), "{path:?} cut at {at}");
+            }
+            fs::remove_file(path).unwrap();
+            assert_eq!(
+                read(&config.folder).unwrap().breaks.is_empty(),
+                first,
+                "old files may be gone: {path:?}"
+            );
+            fs::write(path, &whole).unwrap();
+        }
+        fs::remove_dir_all(&config.folder).unwrap();
+    }
+
+    #[test]
+    fn a_record_that_a_killed_process_left_unfinished_is_no_edit() {
+        let config = config("killed", 10_000, 8);
+        process(&config, 2, true);
+        let path = files(&config.folder).unwrap().into_values().next().unwrap();
+        let mut text = fs::read(&path).unwrap();
+        text.extend_from_slice(b"4 00ab");
+        fs::write(&path, text).unwrap();
+        process(&config, 1, false);
+        let journal = read(&config.folder).unwrap();
+        assert_eq!((journal.records.len(), journal.breaks), (6, vec![]));
+        fs::remove_dir_all(&config.folder).unwrap();
+    }
+
+    #[test]
+    fn settings_that_say_the_same_have_the_same_digest_however_they_are_written() {
+        let digest = |text: &str| digest_of(&serde_json::from_str(text).unwrap());
+        assert_eq!(digest("{\"a\": 1, \"b\": 2}"), digest("{\"b\":2,\"a\":1}"));
+        assert_ne!(digest("{\"a\": 1}"), digest("{\"a\": 2}"));
+    }
+}
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -27,6 +27,7 @@
 use crate::keeper::Keeper;
 use crate::names::Names;
 use crate::operators::{self, Office};
+use crate::records::{digest_of, Recorder};
 use crate::remembered::Remembrance;
 use crate::{clock, handover, listen, log, membership, peers, vrrp};
 
@@ -50,7 +51,7 @@
 }
 
 async fn run(files: &Files, told: Told) -> Result<(), String> {
-    let Told { config, uwsgi, remembered, fleet } = told;
+    let Told { config, uwsgi, remembered, fleet, records } = told;
     // Comes first: a signal that nobody hears yet would end the process.
     let (notice, hangup) = signals().map_err(|e| format!("no signals: {e}"))?;
     let place = handover::place(config.listen);
@@ -113,6 +114,9 @@
         spawn_local(driver.run());
     }
     core.keep(Keeper::new(folder, peers), left);
+    if let Some(records) = records {
+        core.record(Recorder::start(&records, &config.name, digest_of(&config.written["settings"]))?);
+    }
     spawn_local(core.run());
     let front = {
         let (exchange, names) = (exchange.clone(), names.clone());
@@ -263,7 +267,8 @@
         let retuned = settings != names.settings();
         if retuned {
             // The decisions know a class before any front does.
-            exchange.retune(settings.clone()).await;
+            let digest = digest_of(&new.written["settings"]);
+            exchange.retune(settings.clone(), digest).await;
             names.follow(settings, clock::now());
         }
         newest = Some(new);
--- a/node/tests/sockets/helper.rs
+++ b/node/tests/sockets/helper.rs
@@ -95,6 +95,15 @@
         Node::spawn_by(config, uwsgi, folder, remembered)
     }
 
+    /// The same with records of what it decides in a folder.
+    pub fn with_records(config: &str, folder: &Path) -> Node {
+        let text = format!("folder = '{}'\nfile_mb = 1\nfiles = 4\n", folder.display());
+        let mut node =
+            Node::spawn_by(config, Some(UWSGI), None, Some(("--records", file("records.toml", &text))));
+        node.serves();
+        node
+    }
+
     /// The same with both fronts and the text of a fleet file.
     pub fn with_fleet(config: &str, fleet: &str, folder: Option<&Path>) -> Node {
         Node::spawn_by(config, Some(UWSGI), folder, Some(("--fleet", file("fleet.toml", fleet))))
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -6,6 +6,7 @@
 mod jsonrpc;
 mod links;
 mod operators;
+mod records;
 mod reload;
 mod remembered;
 mod upgrade;
--- a/rig/src/charts.rs
+++ b/rig/src/charts.rs
@@ -69,11 +69,55 @@
     drawn.collect()
 }
 
-/// Draws one; nothing where there is nothing to draw, or it can't be drawn.
+/// A line as it is drawn.
+struct Line {
+    name: String,
+    colour: RGBColor,
+    points: Vec<(f64, f64)>,
+}
+
+/// Draws one of a play; nothing where there is nothing to draw, or it can't be drawn.
 fn draw(title: &str, seconds: &[Second], bands: &[Band], curves: &[Curve]) -> Option<String> {
-    let values = curves.iter().flat_map(|curve| seconds.iter().map(curve.of));
+    let line = |curve: &Curve| {
+        let points = seconds.iter().enumerate().map(|(i, second)| (i as f64 + 0.5, (curve.of)(second)));
+        Line { name: curve.name.into(), colour: curve.colour, points: points.collect() }
+    };
+    let lines: Vec<Line> = curves.iter().map(line).collect();
+    draw_lines(title, "seconds", seconds.len() as f64, bands, &lines)
+}
+
+/// Draws a table of numbers: its first line names the columns, the first column is drawn along, the others are lines.
+///
+/// # Errors
+///
+/// What is wrong with it.
+pub fn of_table(title: &str, table: &str) -> Result<String, String> {
+    let mut lines = table.lines().map(|line| line.split(',').map(str::trim).collect::<Vec<_>>());
+    let heads = lines.next().filter(|heads| heads.len() > 1).ok_or("no line that names two columns")?;
+    let mut rows: Vec<Vec<f64>> = Vec::new();
+    for line in lines {
+        let row = line.iter().map(|cell| cell.parse::<f64>().map_err(|e| format!("{cell:?}: {e}")));
+        let row = row.collect::<Result<Vec<f64>, String>>()?;
+        if row.len() != heads.len() {
+            return Err(format!("a line of {} cells where {} are named", row.len(), heads.len()));
+        }
+        rows.push(row);
+    }
+    let colours = [BLUE, ORANGE, RED, GREY];
+    let drawn: Vec<Line> = (1..heads.len())
+        .map(|i| Line {
+            name: heads[i].into(),
+            colour: colours[(i - 1) % colours.len()],
+            points: rows.iter().map(|row| (row[0], row[i])).collect(),
+        })
+        .collect();
+    let end = rows.iter().map(|row| row[0]).fold(1.0, f64::max);
+    draw_lines(title, heads[0], end, &[], &drawn).ok_or_else(|| "it can't be drawn".into())
+}
+
+fn draw_lines(title: &str, along: &str, end: f64, bands: &[Band], lines: &[Line]) -> Option<String> {
+    let values = lines.iter().flat_map(|line| line.points.iter().map(|(_, value)| *value));
     let top = values.fold(1.0, f64::max) * 1.05;
-    let end = seconds.len() as f64;
     let mut svg = String::new();
     {
         let area = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
@@ -98,16 +142,16 @@
             .label_style(("sans-serif", TEXT - 1))
             .x_labels(12)
             .y_labels(5)
-            .x_desc("seconds")
+            .x_desc(along)
             .draw()
             .ok()?;
-        for curve in curves {
-            let points = seconds.iter().enumerate().map(|(i, second)| (i as f64 + 0.5, (curve.of)(second)));
-            let style = curve.colour.stroke_width(2);
-            let drawn = chart.draw_series(LineSeries::new(points, style)).ok()?;
-            drawn.label(curve.name).legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], style));
+        for line in lines {
+            let style = line.colour.stroke_width(2);
+            let drawn = chart.draw_series(LineSeries::new(line.points.iter().copied(), style)).ok()?;
+            let name = line.name.as_str();
+            drawn.label(name).legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], style));
         }
-        if curves.len() > 1 {
+        if lines.len() > 1 {
             chart
                 .configure_series_labels()
                 .position(SeriesLabelPosition::UpperRight)
@@ -147,4 +191,13 @@
         assert!(svg.contains("#EBE0C8"), "the band");
         assert!(svg.matches("<polyline").count() >= 2, "the curves");
     }
+
+    #[test]
+    fn a_table_is_drawn_and_one_that_is_none_is_told() {
+        let svg = of_table("Pages", "nodes,pages in 100 ms\n12,8\n300,143\n").unwrap();
+        assert!(svg.contains("pages in 100 ms") && svg.contains("nodes"));
+        assert!(of_table("x", "nodes\n1\n").is_err() && of_table("x", "").is_err());
+        assert!(of_table("x", "a,b\n1,x\n").unwrap_err().contains("\"x\""));
+        assert!(of_table("x", "a,b\n1\n").unwrap_err().contains("1 cells"));
+    }
 }
--- a/rig/src/main.rs
+++ b/rig/src/main.rs
@@ -13,7 +13,7 @@
 use oakwind_rig::predict::predict;
 use oakwind_rig::report::{self, Outcome};
 use oakwind_rig::scenario::Scenario;
-use oakwind_rig::{mutant, play};
+use oakwind_rig::{charts, mutant, play};
 
 /// Starts fleets of the real program, puts faults between them, and says which rule broke.
 #[derive(FromArgs)]
@@ -31,6 +31,7 @@
     Sweep(Sweep),
     Compare(Compare),
     StandIn(StandIn),
+    Draw(Draw),
 }
 
 /// Play scenarios with the real program and check the rules.
@@ -151,12 +152,25 @@
     mutant: String,
 }
 
+/// Draw a table of numbers, whose first line names the columns, as an SVG on standard output.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "draw")]
+struct Draw {
+    /// the table, with commas between its cells
+    #[argh(positional)]
+    table: PathBuf,
+    /// what stands above the chart
+    #[argh(option)]
+    title: String,
+}
+
 fn main() -> ExitCode {
     let arguments: Arguments = argh::from_env();
     let done = match arguments.command {
         Command::Play(play) => play_all(&play),
         Command::Predict(predict) => predict_all(&predict),
         Command::Check(check) => check_one(&check),
+        Command::Draw(draw) => draw_one(&draw).map(|()| 0),
         Command::Sweep(sweep) => sweep_one(&sweep),
         Command::Compare(compare) => compare_one(&compare),
         Command::StandIn(stand_in) => {
@@ -265,6 +279,13 @@
     told(&[outcome], None)
 }
 
+fn draw_one(arguments: &Draw) -> Result<(), String> {
+    let named = |e: String| format!("{}: {e}", arguments.table.display());
+    let table = std::fs::read_to_string(&arguments.table).map_err(|e| named(e.to_string()))?;
+    print!("{}", charts::of_table(&arguments.title, &table).map_err(named)?);
+    Ok(())
+}
+
 fn sweep_one(arguments: &Sweep) -> Result<usize, String> {
     let (key, values) = pair(&arguments.vary)?;
     let programs = programs(&arguments.program)?;
--- a/rig/src/model/front.rs
+++ b/rig/src/model/front.rs
@@ -8,7 +8,7 @@
 use crate::scenario::{Choose, Fronts, RepeatAt};
 
 /// A try is not begun with less than this left.
-const TOO_LATE: Ms = 5.0;
+pub const TOO_LATE: Ms = 5.0;
 
 /// One front end: what it knows and how it chooses.
 #[derive(Debug, Clone)]
--- a/rig/src/stand/fronts.rs
+++ b/rig/src/stand/fronts.rs
@@ -13,7 +13,7 @@
 
 use super::interpreter::Interpreter;
 use crate::history::{Drop, Event, Kind};
-use crate::model::front::{Answer, Front, Journey, Pin, Step};
+use crate::model::front::{Answer, Front, Journey, Pin, Step, TOO_LATE};
 use crate::model::members::Members;
 use crate::model::Ms;
 use crate::relay::Line;
@@ -180,6 +180,8 @@
             };
             connection.unread.set(connection.unread.get() - 1);
             match read {
+                // Nobody writes what its client no longer waits for.
+                Some(true) if world.now() + TOO_LATE >= due => return Some(Answer::Silent),
                 Some(true) => {}
                 Some(false) => return Some(Answer::Gone),
                 None => {
