--- a/src/admission.rs
+++ b/src/admission.rs
@@ -843,7 +843,8 @@
 
     /// Where the line would carry a request past its aim, the least worthy up to it goes. Guards against a
     /// rate that let in too much for what is left of the server, slow cores and heavy requests alike.
-    /// What has nothing before it is tried: guards against an estimate that nothing would ever correct.
+    /// Where nothing has ended of late, what has nothing before it is tried: guards against an estimate that
+    /// nothing would ever correct.
     fn drop_hopeless(&mut self, out: &mut Vec<Action>) {
         let line = self.queue();
         let left = |r: &Request| {
@@ -858,7 +859,7 @@
             kept.push((id, work, value));
             ahead += work;
             while !kept.is_empty()
-                && ahead > work
+                && (ahead > work || !self.latencies.is_empty())
                 && self.now + (ahead - work) / (self.bound + self.off_cores) + work * HEADROOM > aim_at
             {
                 let worst = (0..kept.len()).min_by(|&a, &b| kept[a].2.total_cmp(&kept[b].2));
