--- a/fleet/src/node.rs
+++ b/fleet/src/node.rs
@@ -390,7 +390,10 @@
         if slept > SLEPT {
             self.woke(slept, out);
         }
-        self.members.lasts(self.mark().seconds);
+        if self.part == Part::Yes {
+            // Of another process that has taken over, others are to hear no more than its folder says.
+            self.members.lasts(self.mark().seconds);
+        }
         self.take(now, event, out);
         while let Some(frame) = self.own.pop_front() {
             self.heard(now, OWN, self.me, self.life, frame, out);
@@ -434,11 +437,6 @@
         self.way.stage()
     }
 
-    /// What its stage allows.
-    pub fn allows(&self) -> Allows {
-        self.way.allows()
-    }
-
     /// Goes on with its way back, or is sent back on it.
     fn goes(&mut self, now: Time, out: &mut Vec<Action>) {
         let heard = |node| self.members.standing(node) == Standing::Alive;
--- a/node/src/clock.rs
+++ b/node/src/clock.rs
@@ -3,6 +3,7 @@
 //! sleep of the machine, time follows, and how far it has jumped is told to those who must not forget anything early.
 
 use std::cell::RefCell;
+use std::sync::OnceLock;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use tokio::time::Sleep;
@@ -46,15 +47,16 @@
     }
 }
 
+/// When time was first asked for in this process.
+static BEGUN: OnceLock<Instant> = OnceLock::new();
+
 struct Watch {
-    begun: Instant,
     rehearsed: Option<(Duration, i64)>,
     follower: Option<Follower>,
 }
 
 thread_local! {
     static WATCH: RefCell<Watch> = RefCell::new(Watch {
-        begun: Instant::now(),
         rehearsed: std::env::var(REHEARSED).ok().and_then(|text| rehearsed(&text)),
         follower: None,
     });
@@ -69,7 +71,7 @@
 pub fn now() -> Unix {
     let system = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     WATCH.with_borrow_mut(|watch| {
-        let steady = watch.begun.elapsed();
+        let steady = BEGUN.get_or_init(Instant::now).elapsed();
         let system = match watch.rehearsed {
             Some((at, by)) if steady >= at && by < 0 => {
                 system.saturating_sub(Duration::from_millis(by.unsigned_abs()))
