Record a decision by one call, and ask key_of whether its key counts

Seen on rereading: node/src/core.rs worked out again whether a request's class is keyed, which key_of already does, and reached the recorder through three methods and closures that differed in one word. A table's row was built by way of an array that was taken apart at once.

Change: Recorder::tried takes what was decided; records::decided says it of an outcome. What is written is the same.

--- a/node/src/commands.rs
+++ b/node/src/commands.rs
@@ -171,8 +171,6 @@
         };
         let list = if by.list == 0 { "-".into() } else { by.list.to_string() };
         let key = key.clone().unwrap_or_else(|| "-".into());
-        let versions = [by.settings.clone(), list, by.program.clone()];
-        let [settings, list, program] = versions;
         Some([
             at.to_string(),
             node.to_string(),
@@ -180,9 +178,9 @@
             txn.clone(),
             key,
             class.clone(),
-            settings,
+            by.settings.clone(),
             list,
-            program,
+            by.program.clone(),
         ])
     });
     print!(
--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use oakwind_fleet::audit::Decided;
 use swiftwinch::{
     Action, Admission, Arrival, CallerId, ClassId, Effect, Event, Gauges, Outcome as Ended, RequestId,
     Settings, TenantId, TimerId,
@@ -25,7 +26,7 @@
 use crate::fate::{digest, Fate, Kept, Key, KeyRecord};
 use crate::keeper::{Keeper, Run, Word};
 use crate::log;
-use crate::records::Recorder;
+use crate::records::{self, Recorder};
 use keys::{Keys, Linked};
 
 /// The gauges are asked for this long before the timer that they go with, as the answer takes a moment.
@@ -175,19 +176,17 @@
         self.records = Some(records);
     }
 
-    /// Records something of a try, where that is wanted, by the versions of the moment.
-    fn recorded(&self, request: &Request, record: impl FnOnce(&Recorder, &str, bool)) {
+    /// Records what was decided of a try, where that is wanted, by the versions of the moment.
+    fn recorded(&self, did: Decided, request: &Request) {
         let Some(records) = &self.records else { return };
         records.list(self.keeper.list());
-        let class = usize::from(request.class);
-        let name = self.settings.classes.get(class).map_or("", String::as_str);
-        let keyed = self.settings.settings.classes.get(class).is_some_and(|c| c.effect == Effect::Keyed);
-        record(records, name, keyed);
+        let class = self.settings.classes.get(usize::from(request.class)).map_or("", String::as_str);
+        records.tried(did, request, self.key_of(request).as_deref(), class);
     }
 
-    /// Ends a request that was not taken on.
+    /// Gives a request its outcome, and records that.
     fn turn(&self, request: &Request, ticket: Ticket, outcome: Outcome) {
-        self.recorded(request, |records, class, keyed| records.answered(&outcome, request, class, keyed));
+        self.recorded(records::decided(&outcome), request);
         ticket.answer(outcome);
     }
 
@@ -657,7 +656,7 @@
             }
         };
         if end == End::NeverRan {
-            self.recorded(&request, |records, class, keyed| records.never_ran(&request, class, keyed));
+            self.recorded(Decided::Unrun, &request);
         }
         let (outcome, answer, kept) = match end {
             End::Done(result) => {
@@ -843,7 +842,7 @@
             log!("no room for one more command to what runs requests");
             return self.run_ended(&request.txn, End::NeverRan);
         }
-        self.recorded(&request, |records, class, keyed| records.runs(&request, class, keyed));
+        self.recorded(Decided::Run, &request);
         self.ends.figures.sent(request.class);
     }
 
--- a/node/src/records.rs
+++ b/node/src/records.rs
@@ -62,6 +62,15 @@
     digest.iter().take(8).map(|byte| format!("{byte:02x}")).collect()
 }
 
+/// What an answer says of what was decided.
+pub fn decided(outcome: &Outcome) -> Decided {
+    match outcome {
+        Outcome::Served(_) => Decided::Served,
+        Outcome::Refused { .. } => Decided::Refused,
+        Outcome::Failed { .. } | Outcome::Mismatched => Decided::Failed,
+    }
+}
+
 /// The way to the thread that writes.
 pub struct Recorder {
     orders: Option<SyncSender<Record>>,
@@ -119,33 +128,14 @@
         }
     }
 
-    /// The run of a try begins.
-    pub fn runs(&self, request: &Request, class: &str, keyed: bool) {
-        self.tried(Decided::Run, request, class, keyed);
-    }
-
-    /// The run of a try provably never began.
-    pub fn never_ran(&self, request: &Request, class: &str, keyed: bool) {
-        self.tried(Decided::Unrun, request, class, keyed);
-    }
-
-    /// A try was answered.
-    pub fn answered(&self, outcome: &Outcome, request: &Request, class: &str, keyed: bool) {
-        let did = match outcome {
-            Outcome::Served(_) => Decided::Served,
-            Outcome::Refused { .. } => Decided::Refused,
-            Outcome::Failed { .. } | Outcome::Mismatched => Decided::Failed,
-        };
-        self.tried(did, request, class, keyed);
-    }
-
-    fn tried(&self, did: Decided, request: &Request, class: &str, keyed: bool) {
+    /// Something was decided of a try; the key is given in classes that must not run twice.
+    pub fn tried(&self, did: Decided, request: &Request, key: Option<&[u8]>, class: &str) {
         let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
         let record = Record::Try {
             at: clock::millis(clock::now()),
             did,
             txn: text(&request.txn),
-            key: request.key.as_deref().filter(|_| keyed).map(text),
+            key: key.map(text),
             class: class.into(),
             by: self.by.borrow().clone(),
         };
