--- /dev/null
+++ b/adapter/src/wire/tests.rs
@@ -0,0 +1,83 @@
+use super::*;
+
+fn hex(text: &str) -> Vec<u8> {
+    let digits: Vec<u8> = text.bytes().filter(u8::is_ascii_hexdigit).collect();
+    digits.chunks(2).map(|pair| u8::from_str_radix(std::str::from_utf8(pair).unwrap(), 16).unwrap()).collect()
+}
+
+fn sample() -> Vec<u8> {
+    hex("05000000 5a5c800000000000 09 0300 \
+         01 c4913a5d 192b6f0e e02e0000 0000 0000 0000c441 01 640ad2557c3bf091 3a070000 \
+         0000203f 11000000 80a90300 \
+         07 4d000000 04 52b81e3f0000404085ebd13e0000f042 09 0500 06 192b6f0e")
+}
+
+#[test]
+fn decodes_every_field_of_a_request() {
+    let batch = decode(&sample()).unwrap();
+    assert_eq!(batch.now, Duration::from_micros(0x805c5a));
+    assert_eq!(batch.records[0], Record::At(3));
+    let Record::Event(Event::Arrived(arrival)) = &batch.records[1] else {
+        panic!("not an arrival");
+    };
+    assert_eq!(arrival.id, RequestId(0x5d3a91c4));
+    assert_eq!(arrival.repeats, Some(RequestId(0x0e6f2b19)));
+    assert_eq!(arrival.hint, Some(Duration::from_micros(12_000)));
+    assert_eq!(arrival.kb, 24.5);
+    assert_eq!(arrival.age, Duration::from_micros(1850));
+    assert_eq!(arrival.rank, 0.625);
+    assert_eq!(arrival.caller, CallerId(17));
+    assert_eq!(arrival.patience, Some(Duration::from_micros(240_000)));
+    assert_eq!(batch.records[4], Record::Event(Event::Abandoned(RequestId(0x0e6f2b19))));
+}
+
+#[test]
+fn every_truncation_is_malformed() {
+    let whole = sample();
+    for len in 0..whole.len() {
+        assert!(decode(&whole[..len]).is_err(), "cut at {len}");
+    }
+    let mut long = whole;
+    long.push(0);
+    assert!(decode(&long).is_err());
+}
+
+#[test]
+fn frames_end_cleanly_only_between_frames() {
+    let mut framed = 12u32.to_le_bytes().to_vec();
+    framed.extend([0; 12]);
+    for len in 1..framed.len() {
+        assert!(read_frame(&mut &framed[..len]).is_err(), "cut at {len}");
+    }
+    assert_eq!(read_frame(&mut &framed[..]).unwrap(), Some(vec![0; 12]));
+    assert_eq!(read_frame(&mut &[][..]).unwrap(), None);
+    assert!(read_frame(&mut &u32::MAX.to_le_bytes()[..]).is_err());
+}
+
+#[test]
+fn unknown_codes_and_outcomes_are_malformed() {
+    assert!(decode(&hex("01000000 0000000000000000 2a")).is_err());
+    assert!(decode(&hex("01000000 0000000000000000 02 01000000 0900 00000000")).is_err());
+}
+
+#[test]
+fn encodes_actions_as_the_page_shows() {
+    let mut reply = Reply::default();
+    reply.extend(3, &[Action::Run(RequestId(0x5d3a91c4))]);
+    reply.extend(4, &[]);
+    reply.extend(
+        5,
+        &[
+            Action::SetTimer(TimerId(77), Duration::from_micros(500_000)),
+            Action::Advertise(0.25),
+            Action::Refuse {
+                id: RequestId(0x0e6f2b19),
+                retry_after: Some(Duration::from_micros(250_000)),
+                stay: true,
+            },
+        ],
+    );
+    let expected = hex("06000000 23000000 46 0300 41 c4913a5d 46 0500 4b 20a10700 4d000000 \
+                        49 0000803e 48 192b6f0e 90d00300 01");
+    assert_eq!(reply.frame(), expected);
+}
--- /dev/null
+++ b/node/src/clock/tests.rs
@@ -0,0 +1,48 @@
+use super::*;
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+#[test]
+fn time_is_the_systems_as_long_as_that_goes_on_evenly() {
+    let mut follower = Follower::new(ms(1_000_000), ms(0));
+    for at in (0..5_000).step_by(37) {
+        // The system's clock may be steered by a little.
+        let system = ms(1_000_000 + at + at / 1000);
+        assert_eq!(follower.now(system, ms(at)), system);
+    }
+    assert_eq!(follower.jumped, ms(0));
+}
+
+#[test]
+fn a_clock_that_is_set_back_slows_time_down_until_it_has_caught_up() {
+    let mut follower = Follower::new(ms(1_000_000), ms(0));
+    let mut last = follower.now(ms(1_001_000), ms(1_000));
+    for at in (1_100..12_000).step_by(100) {
+        let now = follower.now(ms(1_000_000 + at - 400), ms(at));
+        assert!(now > last && now - last <= ms(100), "{at}: {last:?} {now:?}");
+        last = now;
+    }
+    assert_eq!(last, ms(1_000_000 + 11_900 - 400), "400 ms are caught up within 8 s");
+    assert_eq!(follower.jumped, ms(0));
+}
+
+#[test]
+fn a_jump_ahead_is_followed_and_told_and_one_back_to_where_it_was_is_not_one() {
+    let mut follower = Follower::new(ms(1_000_000), ms(0));
+    assert_eq!(follower.now(ms(1_060_100), ms(100)), ms(1_060_100));
+    assert_eq!(follower.jumped, ms(60_000));
+    let back = follower.now(ms(1_000_200), ms(200));
+    assert!(back > ms(1_060_100));
+    let again = follower.now(ms(1_060_300), ms(300));
+    assert!(again >= back && again < ms(1_060_400));
+    assert!(follower.jumped <= ms(60_010), "{:?}", follower.jumped);
+}
+
+#[test]
+fn a_rehearsal_names_when_and_by_how_much() {
+    assert_eq!(rehearsed("3000:-3600000"), Some((ms(3000), -3_600_000)));
+    assert_eq!(rehearsed("0:60000"), Some((ms(0), 60_000)));
+    assert_eq!([rehearsed("3000"), rehearsed("-1:0"), rehearsed("a:b")], [None; 3]);
+}
--- /dev/null
+++ b/node/src/config/tests.rs
@@ -0,0 +1,93 @@
+use super::*;
+
+const SMALL: &str = r#"{"name": "n1", "listen": "127.0.0.1:0", "seed": "8c1f", "stop_ms": 3000,
+    "settings": {"services": [{"name": "quote", "slo": 1, "deadline": 2, "effect": "repeatable"}],
+    "specifics": {"cores": 2, "memoryKb": 64.5}, "safety": {"drainGrace": 8, "fallMultiple": 3}}}"#;
+
+fn problem(from: &str, to: &str) -> String {
+    assert!(SMALL.contains(from));
+    Config::parse(&SMALL.replace(from, to)).unwrap_err().to_string()
+}
+
+#[test]
+fn a_small_configuration_is_enough() {
+    let config = Config::parse(SMALL).unwrap();
+    assert_eq!((config.seed, config.sockets, config.links.vm), (0x8c1f, 1024, None));
+    assert_eq!(config.settings.classes, ["quote"]);
+}
+
+#[test]
+fn one_line_names_the_key() {
+    let cases = [
+        (r#""name": "n1", "#, "", "`name`"),
+        ("127.0.0.1:0", "nowhere", "listen"),
+        ("8c1f", "xyz", "seed"),
+        (r#""cores": 2, "#, "", "cores"),
+        ("repeatable", "sometimes", "effect"),
+        (r#""stop_ms""#, r#""limits": {"sockets": 3}, "stop_ms""#, "limits.sockets"),
+        ("}}}", "}}} {", "trailing"),
+        ("3000", r#""soon""#, "stop_ms"),
+        (r#""stop_ms""#, r#""limits": {"sockets": "few"}, "stop_ms""#, "limits.sockets"),
+        (r#""slo": 1,"#, r#""slo": -1,"#, "services[0].slo"),
+        (r#""deadline": 2"#, r#""deadline": 0"#, "services[0].deadline"),
+        (r#""deadline": 2"#, r#""deadline": "soon""#, "services[0].deadline"),
+        (r#""deadline": 2"#, r#""deadline": null"#, "services[0].deadline"),
+        (r#""deadline": 2, "#, "", "deadline"),
+        ("repeatable", "by_key", "services[0].window"),
+    ];
+    for (from, to, key) in cases {
+        let line = problem(from, to);
+        assert!(line.contains(key) && !line.contains('\n'), "{line:?} names {key}");
+    }
+}
+
+#[test]
+fn a_key_that_the_file_before_had_is_missed_wherever_it_was() {
+    let before = SMALL.replace(r#""effect""#, r#""lateWorth": 0.5, "effect""#).replace(
+        "}]",
+        r#"}, {"name": "book", "slo": 1, "deadline": 2, "effect": "by_key", "window": 9, "worth": 2}], "tenants": []"#,
+    );
+    let lacks = |from: &str, to: &str| {
+        assert!(before.contains(from));
+        let now = Config::parse(&before.replace(from, to)).unwrap();
+        now.lacks(&Config::parse(&before).unwrap())
+    };
+    assert_eq!(lacks("quote", "price"), None);
+    assert_eq!(lacks(r#", "tenants": []"#, ""), Some("settings.tenants".into()));
+    assert_eq!(lacks(r#""name": "book", "#, ""), Some("settings.services.1.name".into()));
+    assert_eq!(lacks(r#""lateWorth": 0.5, "#, ""), None, "not each of the classes had it");
+}
+
+#[test]
+fn a_remembered_file_says_what_is_wrong_with_it() {
+    let good = "folder = '/var/lib/oakwind'\nfile_mb = 8\n";
+    assert_eq!(Remembered::parse(good).unwrap().batch, 1024);
+    for (from, to, key) in [
+        ("folder = '/var/lib/oakwind'", "", "folder"),
+        ("'/var", "'var", "folder"),
+        ("8", "1", "file_mb"),
+        ("8", "8\nbatch = 0", "batch"),
+        ("8", "8\nsurprise = 1", "surprise"),
+    ] {
+        let line = Remembered::parse(&good.replace(from, to)).unwrap_err().to_string();
+        assert!(line.contains(key) && !line.contains('\n'), "{line:?} names {key}");
+    }
+}
+
+#[test]
+fn a_uwsgi_file_says_what_is_wrong_with_it() {
+    let good = "listen = '127.0.0.1:0'\n[vrrp]\nvrid = 7\naddresses = ['127.0.1.1']\n\
+                listen = '127.0.0.1:0'\npeers = []\n";
+    assert_eq!(Uwsgi::parse(good).unwrap().vrrp.unwrap().priority, 100);
+    for (from, to, key) in [
+        ("vrid = 7", "vrid = 0", "vrrp.vrid"),
+        ("vrid = 7", "", "vrid"),
+        ("vrid = 7", "vrid = 7\ninterval_ms = 5", "vrrp.interval_ms"),
+        ("peers = []", "peers = ['x']", "vrrp.peers"),
+        ("peers = []", "peers = 3", "vrrp.peers"),
+        ("[vrrp]", "surprise = 1\n[vrrp]", "surprise"),
+    ] {
+        let line = Uwsgi::parse(&good.replace(from, to)).unwrap_err().to_string();
+        assert!(line.contains(key), "{line:?} names {key}");
+    }
+}
--- /dev/null
+++ b/node/src/fronts/guests/tests.rs
@@ -0,0 +1,51 @@
+use super::*;
+use futures_util::FutureExt;
+
+fn asked(guest: &Guest) -> bool {
+    guest.asked_to_leave().now_or_never().is_some()
+}
+
+#[test]
+fn two_processes_of_a_node_have_half_of_the_room_each() {
+    let guests = Guests::new(4);
+    let seats: Vec<Guest> = (0..4).map(|_| guests.seat().unwrap()).collect();
+    seats[..3].iter().for_each(|seat| seat.is(Standing::Busy));
+    guests.share(true);
+    assert_eq!(
+        seats.iter().map(asked).collect::<Vec<_>>(),
+        [false, false, false, true],
+        "the busy ones stay"
+    );
+    drop(seats);
+    let seats = [guests.seat().unwrap(), guests.seat().unwrap()];
+    seats[1].is(Standing::Busy);
+    let _third = guests.seat().unwrap();
+    assert_eq!(seats.each_ref().map(asked), [true, false]);
+    guests.share(false);
+    let all = [guests.seat().unwrap(), guests.seat().unwrap()];
+    assert!(!all.iter().any(asked) && !asked(&seats[1]));
+}
+
+#[test]
+fn strangers_go_before_idle_ones_and_busy_ones_stay() {
+    let guests = Guests::new(3);
+    let seats: Vec<Guest> = (0..3).map(|_| guests.seat().unwrap()).collect();
+    seats[0].is(Standing::Busy);
+    seats[1].is(Standing::Idle);
+    let fourth = guests.seat().unwrap();
+    assert_eq!(seats.iter().map(asked).collect::<Vec<_>>(), [false, false, true]);
+    fourth.is(Standing::Busy);
+    drop(seats);
+    let (_fifth, sixth) = (guests.seat().unwrap(), guests.seat().unwrap());
+    sixth.is(Standing::Busy);
+    let seventh = guests.seat().unwrap();
+    seventh.is(Standing::Busy);
+    assert!(guests.seat().is_none(), "all are busy");
+    drop((fourth, sixth));
+    let (last, other) = (guests.seat().unwrap(), guests.seat().unwrap());
+    other.is(Standing::Busy);
+    let newest = guests.seat().unwrap();
+    // A request came on the one that was asked to leave: it stays, and counts.
+    last.is(Standing::Busy);
+    assert!(guests.seat().is_some() && asked(&newest));
+}
--- /dev/null
+++ b/node/src/peers/frame/tests.rs
@@ -0,0 +1,97 @@
+use super::*;
+use bytes::Bytes;
+use oakwind_fleet::frame::{Blocker, Hello, Page, Sound, Why};
+use oakwind_fleet::list::NodeId;
+use oakwind_fleet::marks::Mark;
+use oakwind_fleet::record::{ClaimId, End, Fate};
+
+fn claim() -> ClaimId {
+    ClaimId { node: NodeId(1), life: 2, number: 3 }
+}
+
+fn frames() -> Vec<Frame> {
+    let fate = Fate::Done(Bytes::from_static(b"\0job"));
+    let end = End { door: 1, place: 0, claim: claim(), fate, body: u128::MAX };
+    let by = Blocker { claim: claim(), body: 1, ended: Some(end.clone()), past_ms: 0 };
+    vec![
+        Frame::Hello(Hello {
+            name: "n1".into(),
+            to: NodeId(2),
+            life: 7,
+            lists: vec![(1, 2)],
+            over: 0,
+            cut: false,
+            seconds: 9,
+            kept: Some(Mark { life: 6, seconds: 40 }),
+        }),
+        Frame::Blocked { claim: claim(), by },
+        Frame::Unsure { claim: claim(), why: Why::Returning },
+        Frame::Ended { key: "k".into(), keep_ms: 5, end },
+        Frame::Page(Page { round: 1, records: vec![], next: None, sound: Sound::Whole }),
+        Frame::Outdated { known: Mark { life: 6, seconds: 50 } },
+    ]
+}
+
+#[test]
+fn frames_come_off_as_they_were_put_however_they_are_cut() {
+    let mut whole = BytesMut::new();
+    frames().iter().for_each(|frame| put(&mut whole, frame));
+    for cut in 0..whole.len() {
+        let mut buffer = BytesMut::from(&whole[..cut]);
+        let mut got = Vec::new();
+        while let Some(taken) = take(&mut buffer).unwrap() {
+            got.push(taken);
+        }
+        buffer.extend_from_slice(&whole[cut..]);
+        while let Some(taken) = take(&mut buffer).unwrap() {
+            got.push(taken);
+        }
+        assert_eq!(got, frames().into_iter().map(Taken::Frame).collect::<Vec<_>>());
+    }
+}
+
+#[test]
+fn the_last_kind_that_is_known_is_the_last_there_is() {
+    let last = frames().pop().unwrap();
+    let bytes = postcard::to_allocvec(&last).unwrap();
+    assert_eq!(postcard::take_from_bytes::<u32>(&bytes).unwrap().0, KINDS - 1);
+}
+
+/// A frame of these bytes whose check is right.
+fn framed(bytes: &[u8]) -> BytesMut {
+    let mut buffer = BytesMut::new();
+    buffer.put_u32(bytes.len() as u32);
+    buffer.put_u32(check(bytes));
+    buffer.put_slice(bytes);
+    buffer
+}
+
+#[test]
+fn what_a_later_build_adds_is_skipped() {
+    let later = postcard::to_allocvec(&(KINDS + 3, "whatever")).unwrap();
+    assert_eq!(take(&mut framed(&later)), Ok(Some(Taken::Later)));
+    let mut longer = postcard::to_allocvec(&Frame::Free { claim: claim() }).unwrap();
+    longer.extend_from_slice(b"a new field");
+    assert_eq!(take(&mut framed(&longer)), Ok(Some(Taken::Frame(Frame::Free { claim: claim() }))));
+}
+
+#[test]
+fn nonsense_is_told_and_never_panics() {
+    assert!(take(&mut BytesMut::from(&b"GET / HTTP/1.1\r\n"[..])).is_err());
+    assert!(take(&mut framed(b"")).is_err());
+    let mut whole = BytesMut::new();
+    put(&mut whole, &frames()[1]);
+    for at in 0..whole.len() {
+        for bit in 0..8 {
+            let mut hurt = whole.clone();
+            hurt[at] ^= 1 << bit;
+            let taken = take(&mut hurt);
+            assert!(!matches!(taken, Ok(Some(_))), "byte {at}, bit {bit}: {taken:?}");
+        }
+    }
+    for length in 0..64 {
+        // A frame cut short inside, with a check that is right.
+        let bytes = postcard::to_allocvec(&frames()[3]).unwrap();
+        let _ = take(&mut framed(&bytes[..length.min(bytes.len() - 1)]));
+    }
+}
--- /dev/null
+++ b/node/src/records/tests.rs
@@ -0,0 +1,90 @@
+use super::*;
+
+fn config(name: &str, file: u64, files: usize) -> Config {
+    let folder = std::env::temp_dir().join(format!("oakwind-records-{}-{name}", std::process::id()));
+    fs::create_dir_all(&folder).unwrap();
+    Config { folder, file, files }
+}
+
+fn by() -> Versions {
+    Versions { settings: "s".into(), list: 0, program: "1".into() }
+}
+
+fn tried(txn: String) -> Record {
+    Record::Try { at: 5, did: Decided::Run, txn, key: None, class: "quote".into(), by: by() }
+}
+
+/// A process that writes so many records, and may be killed behind them.
+fn process(config: &Config, count: usize, killed: bool) {
+    let mut files = Files::open(config).unwrap();
+    let tally = Tally::default();
+    files.append(&[Record::Began { at: 1, node: "n1".into(), by: by() }], &tally).unwrap();
+    for i in 0..count {
+        files.append(&[tried(format!("{i:x}"))], &tally).unwrap();
+    }
+    if !killed {
+        files.append(&[Record::Ended { at: 9 }], &tally).unwrap();
+    }
+}
+
+#[test]
+fn processes_go_on_with_one_chain_in_a_bounded_number_of_files() {
+    let config = config("chain", 400, 3);
+    process(&config, 2, false);
+    process(&config, 3, true);
+    let journal = read(&config.folder).unwrap();
+    assert_eq!((journal.node.as_str(), journal.records.len(), journal.breaks.len()), ("n1", 8, 0));
+    process(&config, 40, false);
+    let journal = read(&config.folder).unwrap();
+    assert!(journal.breaks.is_empty(), "{:?}", journal.breaks);
+    assert!(files(&config.folder).unwrap().len() == 3 && journal.records.len() < 20);
+    assert!(matches!(journal.records.last(), Some(Record::Ended { .. })));
+    fs::remove_dir_all(&config.folder).unwrap();
+}
+
+/// Small files, every byte: changed, and cut there.
+#[test]
+fn an_edit_or_a_cut_of_any_byte_of_any_file_is_found() {
+    let config = config("edits", 300, 8);
+    process(&config, 4, true);
+    process(&config, 1, false);
+    let all = files(&config.folder).unwrap();
+    assert!(read(&config.folder).unwrap().breaks.is_empty() && all.len() > 2);
+    for path in all.values() {
+        let whole = fs::read(path).unwrap();
+        let first = all.values().next() == Some(path);
+        for at in 0..whole.len() {
+            let mut edited = whole.clone();
+            edited[at] ^= 1;
+            fs::write(path, &edited).unwrap();
+            assert!(!read(&config.folder).unwrap().breaks.is_empty(), "{path:?}, byte {at} changed");
+            fs::write(path, &whole[..at]).unwrap();
+            assert!(!read(&config.folder).unwrap().breaks.is_empty(), "{path:?} cut at {at}");
+        }
+        fs::remove_file(path).unwrap();
+        assert_eq!(read(&config.folder).unwrap().breaks.is_empty(), first, "old files may be gone: {path:?}");
+        fs::write(path, &whole).unwrap();
+    }
+    fs::remove_dir_all(&config.folder).unwrap();
+}
+
+#[test]
+fn a_record_that_a_killed_process_left_unfinished_is_no_edit() {
+    let config = config("killed", 10_000, 8);
+    process(&config, 2, true);
+    let path = files(&config.folder).unwrap().into_values().next().unwrap();
+    let mut text = fs::read(&path).unwrap();
+    text.extend_from_slice(b"4 00ab");
+    fs::write(&path, text).unwrap();
+    process(&config, 1, false);
+    let journal = read(&config.folder).unwrap();
+    assert_eq!((journal.records.len(), journal.breaks), (6, vec![]));
+    fs::remove_dir_all(&config.folder).unwrap();
+}
+
+#[test]
+fn settings_that_say_the_same_have_the_same_digest_however_they_are_written() {
+    let digest = |text: &str| digest_of(&serde_json::from_str(text).unwrap());
+    assert_eq!(digest("{\"a\": 1, \"b\": 2}"), digest("{\"b\":2,\"a\":1}"));
+    assert_ne!(digest("{\"a\": 1}"), digest("{\"a\": 2}"));
+}
--- /dev/null
+++ b/node/src/vrrp/machine/tests.rs
@@ -0,0 +1,107 @@
+use super::*;
+
+const SECOND: Duration = Duration::from_secs(1);
+const NOW: Unix = Duration::from_secs(1_000);
+
+fn router(priority: u8, last: u8, preempt: bool) -> Router {
+    let local = Ipv4Addr::new(127, 0, 0, last);
+    let addresses = vec![Ipv4Addr::new(127, 0, 1, 1)];
+    Router::new(Parameters { vrid: 9, priority, interval: SECOND, preempt, addresses, local })
+}
+
+fn started(priority: u8, last: u8, preempt: bool) -> Router {
+    let mut router = router(priority, last, preempt);
+    router.handle(NOW, Event::Startup);
+    router
+}
+
+fn active(priority: u8, last: u8) -> Router {
+    let mut router = started(priority, last, true);
+    router.handle(NOW + 4 * SECOND, Event::Tick);
+    assert_eq!(router.role(), Role::Active);
+    router
+}
+
+/// An advertisement of that priority from 127.0.0.`last`.
+fn from(last: u8, priority: u8) -> Event {
+    let advertisement = router(100, last, true).advertisement(priority);
+    Event::Advertised { from: Ipv4Addr::new(127, 0, 0, last), advertisement }
+}
+
+fn sent(outputs: &[Output]) -> Vec<u8> {
+    outputs.iter().map(|Output::Send(a)| a.priority).collect()
+}
+
+#[test]
+fn the_owner_is_active_at_once_and_others_wait_for_three_intervals_and_the_skew() {
+    let mut owner = router(255, 1, true);
+    assert_eq!(sent(&owner.handle(NOW, Event::Startup)), [255]);
+    assert_eq!(owner.role(), Role::Active);
+    let mut backup = started(100, 1, true);
+    let down = NOW + 3 * SECOND + SECOND * 156 / 256;
+    assert_eq!((backup.role(), backup.wakes_at()), (Role::Backup, Some(down)));
+    assert!(backup.handle(down - Duration::from_millis(1), Event::Tick).is_empty());
+    assert_eq!(sent(&backup.handle(down, Event::Tick)), [100]);
+    assert_eq!((backup.role(), backup.wakes_at()), (Role::Active, Some(down + SECOND)));
+    assert_eq!(sent(&backup.handle(down + SECOND, Event::Tick)), [100]);
+}
+
+#[test]
+fn of_two_that_start_together_the_higher_priority_is_elected() {
+    let (mut high, low) = (started(200, 1, true), started(100, 2, true));
+    assert!(high.wakes_at() < low.wakes_at());
+    let mut low = low;
+    let at = high.wakes_at().unwrap();
+    assert_eq!(sent(&high.handle(at, Event::Tick)), [200]);
+    low.handle(at, from(1, 200));
+    assert_eq!(low.wakes_at(), Some(at + 3 * SECOND + SECOND * 156 / 256));
+}
+
+#[test]
+fn a_higher_priority_preempts_unless_it_is_told_not_to() {
+    for (preempt, role) in [(true, Role::Active), (false, Role::Backup)] {
+        let mut high = started(200, 1, preempt);
+        for second in 1..=5 {
+            let now = NOW + second * SECOND;
+            high.handle(now, from(2, 100));
+            high.handle(now, Event::Tick);
+        }
+        assert_eq!(high.role(), role, "preempt {preempt}");
+    }
+}
+
+#[test]
+fn an_active_one_yields_to_more_and_answers_less() {
+    let now = NOW + 5 * SECOND;
+    let mut router = active(100, 5);
+    assert_eq!(sent(&router.handle(now, from(9, 99))), [100]);
+    assert_eq!(sent(&router.handle(now, from(4, 100))), [100], "the higher address stays");
+    assert_eq!(router.role(), Role::Active);
+    assert!(router.handle(now, from(6, 100)).is_empty(), "and the lower one yields");
+    assert_eq!(router.role(), Role::Backup);
+    let mut router = active(100, 5);
+    router.handle(now, from(1, 101));
+    assert_eq!((router.role(), router.wakes_at() > Some(now + 3 * SECOND)), (Role::Backup, true));
+}
+
+#[test]
+fn giving_up_hands_the_role_over_within_the_skew() {
+    let mut leaving = active(200, 1);
+    assert_eq!(sent(&leaving.handle(NOW + 5 * SECOND, Event::Shutdown)), [0]);
+    assert_eq!((leaving.role(), leaving.wakes_at()), (Role::Initialize, None));
+    let mut backup = started(100, 2, true);
+    backup.handle(NOW + SECOND, from(1, 0));
+    assert_eq!(backup.wakes_at(), Some(NOW + SECOND + SECOND * 156 / 256));
+    let mut active = active(100, 3);
+    assert_eq!(sent(&active.handle(NOW + 5 * SECOND, from(9, 0))), [100]);
+    assert!(backup.handle(NOW + SECOND, Event::Shutdown).is_empty(), "a backup has nothing to give up");
+}
+
+#[test]
+fn it_follows_the_interval_of_who_is_active() {
+    let mut backup = started(100, 2, true);
+    let mut slow = router(200, 1, true).advertisement(200);
+    slow.interval = 4 * SECOND;
+    backup.handle(NOW, Event::Advertised { from: Ipv4Addr::new(127, 0, 0, 1), advertisement: slow });
+    assert_eq!(backup.wakes_at(), Some(NOW + 12 * SECOND + 4 * SECOND * 156 / 256));
+}
--- /dev/null
+++ b/settings/src/tests.rs
@@ -0,0 +1,51 @@
+use super::*;
+
+const SMALL: &str = r#"{"services": [{"slo": 100, "deadline": 400, "effect": "by_key",
+    "window": 900, "surprise": [1]}], "specifics": {"cores": 2, "memoryKb": 64.5,
+    "dependsOn": "shared", "callsOut": 0.5, "signal": "level", "classCalls": [true]},
+    "safety": {"answerSlack": 9, "drainGrace": 8, "fallMultiple": 3, "overloadFor": 7},
+    "unheardOf": {}}"#;
+
+#[test]
+fn reads_what_it_knows_and_skips_the_rest() {
+    let settings = parse(SMALL).unwrap().settings;
+    assert_eq!(settings.cores, 2);
+    assert_eq!(settings.signal, Signal::Level);
+    assert_eq!(settings.classes[0].effect, Effect::Keyed);
+    assert!(settings.classes[0].calls);
+    assert!(matches!(settings.dependency, Dependency::Shared { share, .. } if share == 0.5));
+}
+
+#[test]
+fn says_what_is_missing_or_unknown() {
+    let missing = SMALL.replace(r#""cores": 2, "#, "");
+    assert!(parse(&missing).unwrap_err().to_string().contains("cores"));
+    let odd = SMALL.replace("by_key", "sometimes");
+    assert!(parse(&odd).unwrap_err().to_string().contains("sometimes"));
+    assert!(parse("{").is_err());
+}
+
+#[test]
+fn what_has_a_position_keeps_it() {
+    let named = |names: [&str; 2]| {
+        let mut parsed = parse(SMALL).unwrap();
+        parsed.classes = names.map(String::from).to_vec();
+        parsed.settings.classes = vec![parsed.settings.classes[0].clone(); 2];
+        parsed.settings.classes[1].worth = 7.0;
+        parsed
+    };
+    let followed = named(["a", "b"]).followed_by(named(["c", "a"])).unwrap();
+    assert_eq!(followed.classes, ["a", "b", "c"]);
+    assert_eq!(followed.retired_classes, [1]);
+    let worths: Vec<f64> = followed.settings.classes.iter().map(|class| class.worth).collect();
+    assert_eq!(worths, [7.0, 7.0, 1.0]);
+    let back = followed.followed_by(named(["b", "x"])).unwrap();
+    assert_eq!((back.classes.len(), back.retired_classes), (4, vec![0, 2]));
+}
+
+#[test]
+fn gauges_go_by_name() {
+    let names = ["mem_used", "runnable", "cpu_busy"].map(String::from);
+    let read = gauges(&names, &[0.5, 7.0, 0.25]);
+    assert_eq!((read.runnable, read.busy), (Some(7.0), Some(0.25)));
+}
