Run no key beside a first run that outlasts its window, and hold no keyed try past its due time

A key whose run has begun and not ended is now known until it ends. Seen: in an upgrade, tries with keys were held back until the process before told its table, up to two seconds, and so past the due time of a request that says so; a notice to leave in that time left them without an answer. At fault: Core::submitted put them aside where nothing looked at their due times. Each is refused at its due time, as it never ran, all at once at a notice to leave, and one whose client goes is dropped.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -115,7 +115,7 @@
     heir: Option<Heir>,
     /// Tries with keys, while it is not known which keys the process before this one has run. As bounded as
     /// connections and what may be open on them.
-    held_back: Vec<Input>,
+    held_back: Vec<(Rc<Request>, Claim, Ticket)>,
     /// What keeps keys beyond this process, as far as operators' files say so.
     keeper: Keeper,
     /// Requests turned away without a decision.
@@ -217,7 +217,12 @@
         let timer = timer.map(|at| if self.gauges_asked { at } else { at.saturating_sub(GAUGE_LEAD) });
         let closing = self.closing_at().filter(|_| self.ends.state.borrow().open);
         let heir = self.heir.as_ref().filter(|heir| !heir.told).map(|heir| heir.at);
-        [timer, closing, heir].into_iter().flatten().min().unwrap_or(clock::now() + Duration::from_secs(3600))
+        let held_back = self.held_back.iter().map(|held| held.0.due.saturating_sub(OVERDUE)).min();
+        [timer, closing, heir, held_back]
+            .into_iter()
+            .flatten()
+            .min()
+            .unwrap_or(clock::now() + Duration::from_secs(3600))
     }
 
     /// From then on nothing that comes may be run, so nothing more is read.
@@ -230,6 +235,7 @@
     fn settle(&mut self) {
         let now = clock::now();
         self.see_jumps();
+        self.turn_held_back(now);
         self.fire_timers(now);
         loop {
             self.decide(now);
@@ -363,7 +369,7 @@
             return self.turn(&request, ticket, outcome.unwrap_or_else(|| self.not_now()));
         }
         if key.is_some() && self.ends.state.borrow().inheriting {
-            return self.held_back.push(Input::Submitted(request, claim, ticket));
+            return self.held_back.push((request, claim, ticket));
         }
         // Guards against a second run of what a damaged record may have told of.
         if key.as_ref().is_some_and(|key| self.in_doubt(key, now)) {
@@ -545,7 +551,20 @@
     /// Requests with keys are decided on from now on.
     fn inherited(&mut self) {
         self.update(|state| state.inheriting = false);
-        self.deferred.extend(std::mem::take(&mut self.held_back));
+        let held_back = std::mem::take(&mut self.held_back).into_iter();
+        self.deferred
+            .extend(held_back.map(|(request, claim, ticket)| Input::Submitted(request, claim, ticket)));
+    }
+
+    /// Turns away what is held back and can wait no longer, or will not be decided on any more. Guards its answer
+    /// against a process before this one that is slow to tell, or never does.
+    fn turn_held_back(&mut self, now: Unix) {
+        let leaving = self.ends.state.borrow().draining.is_some();
+        let over = |held: &(Rc<Request>, Claim, Ticket)| leaving || now + OVERDUE >= held.0.due;
+        let (over, waits) = std::mem::take(&mut self.held_back).into_iter().partition(over);
+        self.held_back = waits;
+        let over: Vec<_> = over;
+        over.into_iter().for_each(|(request, _, ticket)| self.turn(&request, ticket, self.not_now()));
     }
 
     fn heir_told(&self) -> bool {
@@ -604,6 +623,7 @@
     }
 
     fn gone(&mut self, claim: &Claim) {
+        self.held_back.retain(|(_, held, _)| held != claim);
         let Some(&id) = self.by_txn.get(&claim.txn) else { return };
         let Some(taken) = self.tries.get_mut(&id).filter(|taken| taken.claim == *claim) else { return };
         if taken.ticket.take().is_some() {
--- a/node/src/core/keys.rs
+++ b/node/src/core/keys.rs
@@ -30,6 +30,17 @@
 }
 
 impl Entry {
+    /// Whether a try that came then is a new request: its time is up and nothing of it runs. Guards against a second
+    /// run beside a first one that takes longer than its key is remembered.
+    fn is_over(&self, door: Unix) -> bool {
+        door > self.until && !self.runs()
+    }
+
+    /// It was begun, and its end is not known.
+    fn runs(&self) -> bool {
+        self.ran.is_some() && self.kept.is_none()
+    }
+
     fn fate(&self) -> Fate {
         self.kept.as_ref().map_or(Fate::Open, Kept::fate)
     }
@@ -162,9 +173,9 @@
 
     /// A try with this body came to the machine at `door`.
     pub fn arrived(&mut self, key: Key, body: &[u8], door: Unix) -> Linked {
-        let prior = self.entries.get(&key).map(|e| (e.holder, e.until, e.body));
+        let prior = self.entries.get(&key).map(|e| (e.holder, e.is_over(door), e.body));
         let linked = match prior {
-            Some((holder, until, _)) if door > until => {
+            Some((holder, true, _)) => {
                 self.forget(holder);
                 Linked::First
             }
@@ -312,7 +323,7 @@
         self.swept = now;
         let Keys { held, bytes, entries, results, open, .. } = self;
         entries.retain(|_, entry| {
-            let stays = now < entry.until + READ_LATE;
+            let stays = now < entry.until + READ_LATE || entry.runs();
             if !stays {
                 held.remove(&entry.holder);
                 *bytes -= entry.bytes();
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -12,3 +12,4 @@
 mod upgrade;
 mod uwsgi;
 mod vrrp;
+mod windows;
--- /dev/null
+++ b/node/tests/sockets/windows.rs
@@ -0,0 +1,83 @@
+//! Repeats just inside and just outside of a short window, counted from when the try that ran came to the machine.
+
+use crate::helper::*;
+
+/// A window of half a second, and deadlines that are as short.
+fn short() -> (Node, Server, Peer) {
+    let vm = Server::new();
+    let text = config(&format!(r#""vm": "{}","#, vm.address))
+        .replace("\"by_key\", \"window\": 120000000", "\"by_key\", \"window\": 500000")
+        .replace("\"deadline\": 120000000", "\"deadline\": 400000")
+        .replace("\"slo\": 60000000", "\"slo\": 400000");
+    let node = Node::start(&text, None);
+    let link = vm.interpreter("0");
+    (node, vm, link)
+}
+
+/// Until no try that comes is within the window of one that came before; a part of that is the node's own to spare.
+fn window_passes() {
+    let over = now_ms() + 1_000;
+    while now_ms() < over {
+        std::thread::sleep(std::time::Duration::from_millis(10));
+    }
+}
+
+#[test]
+fn inside_the_window_a_repeat_gets_the_first_result_and_outside_it_runs() {
+    let (node, _vm, mut link) = short();
+    let mut client = node.client();
+    let first = request(1, "a1", "book", Some("k"), 400);
+    client.say(&first);
+    link.apply();
+    link.value(1, "a1", "done", "job 1");
+    assert!(client.line().contains("am9iIDE="));
+    // A door within the window counts, whenever the try is read; this one came with the first.
+    window_passes();
+    client.say(first.replace("\"id\":1", "\"id\":2").replace("\"a1\"", "\"a2\"").replace("400", "90000"));
+    let late = client.line();
+    assert!(late.contains("\"id\":2,\"result\":{\"content\":\"am9iIDE=\"}"), "{late}");
+    client.request(3, "a3", Some("k"), 400);
+    assert_eq!(link.apply().0, "a3", "its window is over, so it is a new request");
+}
+
+#[test]
+fn while_the_first_still_runs_no_repeat_runs_beside_it_however_late() {
+    let (node, _vm, mut link) = short();
+    let mut client = node.client();
+    client.request(1, "a1", Some("k"), 400);
+    link.apply();
+    assert!(client.line().contains("-32001"), "its time ran out, and it may still have its effect");
+    window_passes();
+    client.request(2, "a2", Some("k"), 400);
+    // The next that runs is another key.
+    client.request(3, "b1", Some("l"), 400);
+    assert_eq!(link.apply().0, "b1");
+    link.value(1, "a1", "done", "job 1");
+    let joined = client.line();
+    assert!(joined.contains("\"id\":2,\"result\":{\"content\":\"am9iIDE=\"}"), "{joined}");
+}
+
+#[test]
+fn while_it_drains_a_repeat_gets_the_result_of_the_run_and_a_new_key_is_refused() {
+    let (node, _vm, mut link) = Node::with_interpreter("", None);
+    let (mut client, mut other) = (node.client(), node.client());
+    client.request(1, "a1", Some("k"), LONG);
+    link.apply();
+    other.say("{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"sta");
+    while node.status() != "up" {}
+    node.terminate();
+    assert_eq!(client.any_line(), DRAINING);
+    assert_eq!(other.any_line(), DRAINING);
+    // Past the grace nothing new may run: the listener is closed then.
+    while std::net::TcpStream::connect(node.json).is_ok() {}
+    client.request(2, "a2", Some("k"), LONG);
+    client.request(3, "b1", Some("l"), LONG);
+    assert!(client.line().contains("\"id\":3,\"error\":{\"code\":-32011"));
+    link.value(1, "a1", "done", "job 1");
+    let mut answers = [client.line(), client.line()];
+    answers.sort();
+    insta::assert_snapshot!(answers.join("\n"), @r#"
+    {"jsonrpc":"2.0","id":1,"result":{"content":"am9iIDE="}}
+    {"jsonrpc":"2.0","id":2,"result":{"content":"am9iIDE="}}
+    "#);
+}
