--- a/node/tests/sockets/endings.rs
+++ b/node/tests/sockets/endings.rs
@@ -3,7 +3,7 @@
 use crate::helper::*;
 use crate::upgrade::Place;
 use std::io::Write;
-use std::os::unix::net::UnixListener;
+use std::os::unix::net::{UnixListener, UnixStream};
 
 /// A node with these changes to its configuration and a stand-in interpreter, whose link is up.
 fn node_with(change: impl Fn(String) -> String) -> (Node, Server, Peer) {
@@ -109,19 +109,25 @@
     assert!(other.line().contains("result"));
 }
 
-#[test]
-fn a_process_before_that_is_slow_to_tell_its_keys_delays_no_answer() {
-    let place = Place::new("127.0.3.7");
+/// A process that takes over at this place from one that the test plays, which says nothing yet.
+fn takes_over(place: &Place, change: impl Fn(String) -> String) -> (Node, Server, Peer, UnixStream) {
     let socket = place.json.replace(':', "_");
     let before = UnixListener::bind(place.folder.join(format!("oakwind-{socket}.sock"))).unwrap();
     let vm = Server::new();
     let text = config(&format!(r#""vm": "{}","#, vm.address)).replace("127.0.0.1:0", &place.json);
-    let mut node = Node::spawn(&text, None, Some(&place.folder));
+    let mut node = Node::spawn(&change(text), None, Some(&place.folder));
     // It asks first whether a process serves here, then takes over.
     drop(before.accept().unwrap());
-    let mut link = vm.interpreter("0");
+    let link = vm.interpreter("0");
     node.serves();
-    let (mut before, _) = before.accept().unwrap();
+    let (told, _) = before.accept().unwrap();
+    (node, vm, link, told)
+}
+
+#[test]
+fn a_process_before_that_is_slow_to_tell_its_keys_delays_no_answer() {
+    let place = Place::new("127.0.3.7");
+    let (mut node, _vm, mut link, mut before) = takes_over(&place, |text| text);
     let mut client = node.client();
     client.request(1, "a1", Some("slow"), 300);
     assert!(client.line().contains("-32011"), "it has not run, and its caller waits no longer");
@@ -134,6 +140,38 @@
     assert_eq!(link.apply().0, "a3");
 }
 
+#[test]
+fn a_notice_to_leave_before_the_keys_are_told_leaves_no_try_without_an_answer() {
+    let place = Place::new("127.0.3.8");
+    // It is stopped before it would give up waiting for the keys.
+    let (node, _vm, _link, _before) = takes_over(&place, |text| text.replace("30000", "1000"));
+    let mut client = node.client();
+    client.request(1, "a1", Some("k"), LONG);
+    client.say(STATUS.replace(":1,", ":2,"));
+    assert!(client.line().contains("\"id\":2"), "both were read");
+    node.terminate();
+    assert!(client.line().contains("\"id\":1,\"error\":{\"code\":-32011"));
+}
+
+#[test]
+fn a_client_that_finds_no_place_sees_an_end_and_no_reset() {
+    let (mut node, _vm, _link) =
+        node_with(|text| text.replace("\"seed\"", "\"limits\": {\"sockets\": 40}, \"seed\""));
+    let mut busy: Vec<Peer> = (0..10).map(|_| node.client()).collect();
+    for (place, client) in busy.iter_mut().enumerate() {
+        client.request(1, &format!("a{place}"), None, LONG);
+        client.say(STATUS.replace(":1,", ":2,"));
+        assert!(client.line().contains("\"id\":2"), "its request is open");
+    }
+    // What it says has come before the node knows of it.
+    node.stands_still();
+    let mut late = node.client();
+    late.say(STATUS);
+    node.goes_on();
+    assert_eq!(late.rest(), "");
+    node.logs("every other one is busy");
+}
+
 #[test]
 fn half_a_uwsgi_request_before_the_notice_to_leave_is_answered_when_it_is_whole() {
     let vm = Server::new();
