Write all answers before ending, and know the interpreter again after the clock is set

Found by going through the paths on docs/endings.md, each with a test that fails against the program before: - The process ended 100 ms before the stop though answers waited to be written: of 32 large ones 8 arrived (serve.rs, drained). It ends by itself only once clients have their answers. - A link made anew after the clock was set ahead took the interpreter for a new one, and all runs for lost (backends/interpreter.rs, banner).

--- a/node/src/backends/interpreter.rs
+++ b/node/src/backends/interpreter.rs
@@ -176,7 +176,9 @@
             b"seasoned" => false,
             _ => return Err(message.nonsense().into()),
         };
-        let started = clock::now().saturating_sub(Duration::from_millis(message.number(2)?));
+        // Guards runs against a clock that was set ahead meanwhile: the start stays where it was.
+        let started =
+            clock::now().saturating_sub(clock::jumped() + Duration::from_millis(message.number(2)?));
         if self.started.is_some_and(|known| started > known + RESTARTED) {
             // Guards against running again what an earlier life of the interpreter may have run.
             log!("interpreter: it started anew, {} runs are lost", self.runs.len());
--- a/node/src/fronts/guests.rs
+++ b/node/src/fronts/guests.rs
@@ -20,6 +20,8 @@
     Stranger,
     /// Nothing is open on it.
     Idle,
+    /// Nothing is open on it, and its last answers are still to be written.
+    Answered,
     /// Its peer waits for an answer.
     Busy,
 }
@@ -39,7 +41,8 @@
     shared: Cell<bool>,
     seats: RefCell<HashMap<u64, Seat>>,
     next: Cell<u64>,
-    gone: Notify,
+    /// A connection has gone, or has all its answers.
+    changed: Notify,
 }
 
 /// A connection's seat, free again when this is dropped.
@@ -53,7 +56,7 @@
     /// Room for so many connections.
     pub fn new(room: usize) -> Rc<Self> {
         let seats = RefCell::default();
-        Rc::new(Guests { room, shared: Cell::new(false), seats, next: Cell::new(0), gone: Notify::new() })
+        Rc::new(Guests { room, shared: Cell::new(false), seats, next: Cell::new(0), changed: Notify::new() })
     }
 
     /// Seats one more connection. Where there is no room, a stranger or else the one idle for longest goes for
@@ -103,7 +106,14 @@
     /// Waits until no connection is left.
     pub async fn all_gone(&self) {
         while !self.seats.borrow().is_empty() {
-            self.gone.notified().await;
+            self.changed.notified().await;
+        }
+    }
+
+    /// Waits until every connection has all its answers.
+    pub async fn all_paid(&self) {
+        while self.seats.borrow().values().any(|seat| seat.standing >= Standing::Answered) {
+            self.changed.notified().await;
         }
     }
 }
@@ -117,6 +127,9 @@
             }
             // A request came before it left, so it stays, and counts.
             seat.leaving &= standing < Standing::Busy;
+            if standing < Standing::Answered {
+                self.guests.changed.notify_waiters();
+            }
         }
     }
 
@@ -134,7 +147,7 @@
 impl Drop for Guest {
     fn drop(&mut self) {
         self.guests.seats.borrow_mut().remove(&self.number);
-        self.guests.gone.notify_one();
+        self.guests.changed.notify_waiters();
     }
 }
 
--- a/node/src/fronts/guests/tests.rs
+++ b/node/src/fronts/guests/tests.rs
@@ -49,3 +49,21 @@
     last.is(Standing::Busy);
     assert!(guests.seat().is_some() && asked(&newest));
 }
+
+#[test]
+fn who_does_not_read_its_answers_goes_after_idle_ones_and_is_waited_for_at_the_end() {
+    let guests = Guests::new(2);
+    let seats = [guests.seat().unwrap(), guests.seat().unwrap()];
+    seats[0].is(Standing::Answered);
+    seats[1].is(Standing::Idle);
+    let third = guests.seat().unwrap();
+    third.is(Standing::Busy);
+    assert_eq!(seats.each_ref().map(asked), [false, true]);
+    assert!(guests.all_paid().now_or_never().is_none(), "one waits for its answer, one has not read it");
+    let fourth = guests.seat().unwrap();
+    assert!(asked(&seats[0]), "it goes before one that waits for its answer");
+    drop(seats);
+    third.is(Standing::Idle);
+    assert!(guests.all_paid().now_or_never().is_some());
+    drop(fourth);
+}
--- a/node/src/fronts/jsonrpc.rs
+++ b/node/src/fronts/jsonrpc.rs
@@ -192,10 +192,11 @@
                 // Guards a message that has come in this moment: the system is asked once more before the end.
                 tokio::task::yield_now().await;
             }
-            self.guest.is(match (self.open.is_empty(), self.known) {
-                (false, _) => Standing::Busy,
-                (true, true) => Standing::Idle,
-                (true, false) => Standing::Stranger,
+            self.guest.is(match (self.open.is_empty(), self.output.is_empty(), self.known) {
+                (false, ..) => Standing::Busy,
+                (true, false, _) => Standing::Answered,
+                (true, true, true) => Standing::Idle,
+                (true, true, false) => Standing::Stranger,
             });
             let now = clock::now();
             let unread = self.unread.until(self.output.len(), now);
@@ -237,7 +238,13 @@
                 }
                 // Comes after reading: guards what has come already. A request that crosses the close is sent
                 // again, once.
-                () = self.guest.asked_to_leave() => self.leaving |= self.open.is_empty(),
+                () = self.guest.asked_to_leave() => {
+                    // Who does not read its answers keeps no place that another needs: guards the descriptors.
+                    if self.open.is_empty() && !self.output.is_empty() {
+                        return Ok(());
+                    }
+                    self.leaving |= self.open.is_empty();
+                }
                 changed = self.state.changed() => if changed.is_err() { return Ok(()) },
                 () = clock::until(wake) => {}
             }
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -165,7 +165,8 @@
         let stop = clock::now() + config.stop;
         exchange.drain(stop).await;
         let closed = async { tokio::join!(platform.all_gone(), second.all_gone()) };
-        drained(&exchange, stop, closed).await;
+        let paid = async { tokio::join!(platform.all_paid(), second.all_paid()) };
+        drained(&exchange, stop, closed, paid).await;
     };
     tokio::select! {
         () = draining => {}
@@ -364,17 +365,23 @@
     Ok((notice, signal(SignalKind::hangup())?))
 }
 
-/// Waits until nothing more comes in, all that was read is answered and every connection is closed, or the
-/// time is up.
-async fn drained(exchange: &Exchange, stop: clock::Unix, closed: impl Future) {
-    let mut state = exchange.state();
+/// Waits until nothing more comes in, all that was read is answered and every connection is closed; or until the time is
+/// up and every client has its answers. Guards those: before the stop, being there still owes nobody less than ending does.
+async fn drained(exchange: &Exchange, stop: clock::Unix, closed: impl Future, paid: impl Future) {
+    let (mut over, mut late) = (exchange.state(), exchange.state());
     let over = async {
-        let answered = state.wait_for(|state| !state.takes_clients() && state.answered).await;
+        let answered = over.wait_for(|state| !state.takes_clients() && state.answered).await;
         drop(answered);
         closed.await;
     };
+    let late = async {
+        clock::until(stop.saturating_sub(MARGIN)).await;
+        let answered = late.wait_for(|state| state.answered).await;
+        drop(answered);
+        paid.await;
+    };
     tokio::select! {
-        () = clock::until(stop.saturating_sub(MARGIN)) => {}
+        () = late => {}
         () = over => {}
     }
 }
--- a/node/tests/sockets/endings.rs
+++ b/node/tests/sockets/endings.rs
@@ -204,3 +204,49 @@
     link.say("BANNER fresh 0\r\n");
     while node.status() != "up" {}
 }
+
+#[test]
+fn a_node_that_is_to_stop_at_once_still_writes_all_answers_to_a_client_that_reads() {
+    let (node, _vm, mut link) = node_with(|text| text.replace("30000", "1"));
+    let (mut slow, mut other) = (Peer::that_reads_little(node.json), node.client());
+    let all: String = (1..=32).map(|id| request(id, &format!("a{id}"), "quote", None, LONG)).collect();
+    slow.say(all);
+    let result = "r".repeat(250_000);
+    for notice in 1..=32 {
+        let (txn, ..) = link.apply();
+        link.value(notice, &txn, "done", &result);
+    }
+    // That this is answered shows that all results before it were heard.
+    other.request(1, "b1", None, LONG);
+    link.apply();
+    link.value(33, "b1", "done", "x");
+    assert!(other.line().contains("result"));
+    node.terminate();
+    assert_eq!(other.any_line(), DRAINING);
+    let answers = slow.rest();
+    assert_eq!(answers.lines().filter(|line| line.contains("\"result\"") && line.ends_with('}')).count(), 32);
+    node.ends();
+}
+
+#[test]
+fn an_interpreter_is_known_again_though_the_clock_was_set_ahead_meanwhile() {
+    let vm = Server::new();
+    let path = file("config.json", &config(&format!(r#""vm": "{}","#, vm.address)));
+    let mut command = oakwind(&["serve", "--config", path.to_str().unwrap()]);
+    // An hour ahead, a second after its start.
+    command.env("OAKWIND_REHEARSED_CLOCK", "1000:3600000");
+    let mut node = Node::of(command);
+    node.serves();
+    let mut link = vm.interpreter("0");
+    let mut client = node.client();
+    // A door that is still to come is the moment of reading, whenever the clock is set.
+    client.say(request(1, "a1", "book", Some("k"), LONG).replace("\"door\":", "\"door\":1"));
+    link.apply();
+    node.logs("the clock has jumped ahead");
+    drop(link);
+    let mut link = vm.accept();
+    link.line();
+    // Surely no later a start than the one told before, however long this test takes.
+    link.say("BANNER seasoned 600000\r\n");
+    assert_eq!(link.apply().0, "a1", "its run goes on");
+}
--- a/node/tests/sockets/helper.rs
+++ b/node/tests/sockets/helper.rs
@@ -129,10 +129,15 @@
         if let Some(folder) = folder {
             command.env("TMPDIR", folder);
         }
+        Node { files, ..Node::of(command) }
+    }
+
+    /// The program as a command starts it.
+    pub fn of(mut command: Command) -> Node {
         let (say, log) = channel();
         // A test that is over reads no more.
         let program = Program::start(&mut command, move |line| drop(say.send(line))).unwrap();
-        Node { program, log, said: Vec::new(), files, json: ([127, 0, 0, 1], 0).into() }
+        Node { program, log, said: Vec::new(), files: Vec::new(), json: ([127, 0, 0, 1], 0).into() }
     }
 
     /// Waits until it takes clients.
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -65,6 +65,9 @@
     events: Vec<Event>,
     timers: Vec<(u64, TimerId)>,
     notice: Option<(u64, u64)>,
+    /// What arrivals and timers tell on this day.
+    hints: bool,
+    gauges: Gauges,
     crowd: f64,
     /// The mean of the crowd is taken over this.
     crowd_span: Duration,
@@ -82,9 +85,19 @@
 
 fn settings(dice: &mut Dice) -> Settings {
     let effects = [Effect::Repeatable, Effect::Keyed, Effect::Once];
+    // Half of the days have deadlines of any length from half a second to a minute.
+    let wide = dice.chance(50);
     let class = |dice: &mut Dice| Class {
-        aim: ms(300 + dice.below(2000)),
-        deadline: ms(1500 + dice.below(4000)),
+        aim: if wide {
+            ms(100) * 200_f64.powf(dice.below(100) as f64 / 100.0) as u32
+        } else {
+            ms(300 + dice.below(2000))
+        },
+        deadline: if wide {
+            ms(500) * 120_f64.powf(dice.below(101) as f64 / 100.0) as u32
+        } else {
+            ms(1500 + dice.below(4000))
+        },
         effect: effects[dice.below(3) as usize],
         window: ms(500 + dice.below(6000)),
         worth: 1.0 + dice.below(5) as f64,
@@ -144,6 +157,11 @@
             events: Vec::new(),
             timers: Vec::new(),
             notice: None,
+            hints: !seed.is_multiple_of(3),
+            gauges: Gauges {
+                busy: (!seed.is_multiple_of(2)).then_some(0.8),
+                runnable: (!seed.is_multiple_of(5)).then_some(3.0),
+            },
             crowd: 0.0,
             crowd_span: ms(1500 + 500 * (seed % 4)),
             calls: 0.0,
@@ -194,7 +212,7 @@
         self.events.push(Event::Arrived(Arrival {
             repeats,
             tenant: TenantId(self.dice.below(3) as u16),
-            hint: self.dice.chance(50).then(|| ms(1 + self.dice.below(500))),
+            hint: (self.dice.chance(50) && self.hints).then(|| ms(1 + self.dice.below(500))),
             kb,
             age: Duration::from_micros(age),
             rank: self.dice.below(100) as f64 / 100.0,
@@ -481,7 +499,7 @@
         let now = self.now;
         let due: Vec<_> = self.timers.iter().filter(|t| t.0 <= now).map(|t| t.1).collect();
         self.timers.retain(|t| t.0 > now);
-        let gauges = Gauges { busy: Some(0.8), runnable: Some(3.0) };
+        let gauges = self.gauges;
         self.events.extend(due.into_iter().map(|timer| Event::Timer(timer, gauges)));
     }
 
