Keep the end of an old process's run on disk before a new one's clients hear of it

Seen: remembered::an_upgrade_hands_the_folder_over_... failed once in twelve runs on a busy machine; killed right after the answer, the next process told a repeat 'failed' instead of the result. Cause: of what the process before told, the waiting tries heard at once, while the record of it was still on its way to the disk (core.rs, inherit). Now the record comes first, as it does for the process's own runs. Checked: the test twelve times beside the whole suite, passed each time; without a file for keys nothing changes.

--- a/node/src/core.rs
+++ b/node/src/core.rs
@@ -116,6 +116,9 @@
     /// Tries with keys, while it is not known which keys the process before this one has run. As bounded as
     /// connections and what may be open on them.
     held_back: Vec<(Rc<Request>, Claim, Ticket)>,
+    /// Ends of runs of the process before this one that are being kept, by the try that holds the key here. As bounded as
+    /// keys.
+    to_keep: HashMap<RequestId, KeyRecord>,
     /// What keeps keys beyond this process, as far as operators' files say so.
     keeper: Keeper,
     /// Requests turned away without a decision.
@@ -148,6 +151,7 @@
             opened: false,
             heir: None,
             held_back: Vec::new(),
+            to_keep: HashMap::new(),
             keeper: Keeper::default(),
             turned: Cell::new(0),
             jumped: Duration::ZERO,
@@ -447,6 +451,9 @@
 
     /// What earlier processes began and told no end of has failed.
     fn inheritance_over(&mut self) {
+        for record in std::mem::take(&mut self.to_keep).into_values() {
+            self.inherit_key(record, false);
+        }
         let joiners = self.keys.inheritance_over();
         self.all_join_ended(joiners, &Kept::Failed);
     }
@@ -455,7 +462,13 @@
     fn told(&mut self, word: Word) {
         match word {
             Word::Begin(id, kept) => self.may_begin(id, kept),
-            Word::Ended(id, end) => self.run_over(id, end),
+            Word::Ended(id, end) => match self.to_keep.remove(&id) {
+                Some(record) => {
+                    let fate = if let End::Done(_) = end { record.fate } else { Fate::Failed };
+                    self.inherit_key(KeyRecord { fate, ..record }, false);
+                }
+                None => self.run_over(id, end),
+            },
             Word::Elsewhere(id) => self.elsewhere(id),
             Word::Became(id, kept) => self.became(id, kept),
             Word::Unknown(id) => self.unknown(id, Outcome::Failed { overdue: true }),
@@ -532,14 +545,19 @@
             self.keys.digests_with(estate.seed);
             log!("handover: {} keys are known from the process before", estate.keys.len());
         }
-        for KeyRecord { key, body, until, fate } in estate.keys {
-            let id = self.new_id();
-            if let Some((joiners, kept)) = self.keys.inherit(key.clone(), (body, until, fate), id) {
-                // What it tells at first is kept already.
-                if let Some(holder) = self.keys.holder(&key).filter(|_| !first) {
-                    self.keep_fate(holder, &kept);
+        for record in estate.keys {
+            // What it tells at first is kept already. Later ends are kept before anybody hears of them.
+            let ended = match &record.fate {
+                Fate::Done(result) if !first => Some(Kept::Done(result.clone())),
+                Fate::Failed if !first => Some(Kept::Failed),
+                _ => None,
+            };
+            let run = self.keys.holder(&record.key).and_then(|holder| self.run_of(holder));
+            match (ended, run) {
+                (Some(kept), Some(run)) if self.keeper.ended_before(run.clone(), &kept) => {
+                    self.to_keep.insert(run.id, record);
                 }
-                self.all_join_ended(joiners, &kept);
+                _ => self.inherit_key(record, !first),
             }
         }
         if first {
@@ -548,6 +566,17 @@
         self.inherited();
     }
 
+    /// What the process before this one knows of a key is known here; `keeps` if it is to be kept as well.
+    fn inherit_key(&mut self, KeyRecord { key, body, until, fate }: KeyRecord, keeps: bool) {
+        let id = self.new_id();
+        if let Some((joiners, kept)) = self.keys.inherit(key.clone(), (body, until, fate), id) {
+            if let Some(holder) = self.keys.holder(&key).filter(|_| keeps) {
+                self.keep_fate(holder, &kept);
+            }
+            self.all_join_ended(joiners, &kept);
+        }
+    }
+
     /// Requests with keys are decided on from now on.
     fn inherited(&mut self) {
         self.update(|state| state.inheriting = false);
--- a/node/src/keeper.rs
+++ b/node/src/keeper.rs
@@ -209,6 +209,21 @@
         }
     }
 
+    /// Keeps how a run of the process before this one ended; true if it tells when that is kept.
+    pub fn ended_before(&mut self, run: Run, kept: &Kept) -> bool {
+        let (end, state, result) = match kept {
+            Kept::Done(result) => (End::Done(result.clone()), State::Done, result.clone()),
+            Kept::Failed => (End::Crashed, State::Failed, Bytes::new()),
+            Kept::NeverRan => return false,
+        };
+        let open = self.asked_folder(&run, state, result) == Answer::Open;
+        if open {
+            let waiting = Waiting { end: Some(end), folder: Answer::Open, peers: Answer::Yes, run };
+            self.waiting.insert(waiting.run.id, waiting);
+        }
+        open
+    }
+
     /// Keeps what became of a run that nobody waits for.
     pub fn over(&mut self, run: Run, kept: &Kept) {
         match kept {
