Test that processes which start together are ready with their interpreters, not before

Twenty-four processes whose interpreters are late and whose reports nobody hears answer checks as bad at once, and as good once their interpreters are up.

--- a/node/tests/sockets/endings.rs
+++ b/node/tests/sockets/endings.rs
@@ -250,3 +250,25 @@
     link.say("BANNER seasoned 600000\r\n");
     assert_eq!(link.apply().0, "a1", "its run goes on");
 }
+
+#[test]
+fn processes_that_start_together_are_each_ready_with_their_interpreter_and_not_before() {
+    let vms: Vec<Server> = (0..24).map(|_| Server::new()).collect();
+    let start = |vm: &Server| {
+        // Nobody hears their reports.
+        let links = format!(r#""vm": "{}", "members": "{DOWN}", "ops": "127.0.0.1:0","#, vm.address);
+        Node::spawn(&config(&links), None, None)
+    };
+    let mut nodes: Vec<Node> = vms.iter().map(start).collect();
+    let mut links: Vec<Peer> = vms.iter().map(Server::accept).collect();
+    for node in &mut nodes {
+        node.serves();
+        assert_eq!(node.status(), "down");
+    }
+    links.iter_mut().for_each(|link| link.say("BANNER fresh 0\r\n"));
+    for node in &mut nodes {
+        let ops = node.ops();
+        while !call(ops, "GET /ops/readiness").starts_with("HTTP/1.1 200 ") {}
+        while node.status() != "up" {}
+    }
+}
