--- a/node/src/core/keys/tests.rs
+++ b/node/src/core/keys/tests.rs
@@ -128,3 +128,16 @@
     keys.sweep(at(126));
     assert_eq!((keys.bytes, keys.results.len()), (0, 0));
 }
+
+#[test]
+fn a_key_whose_run_has_no_end_yet_does_not_run_out() {
+    let mut keys = keys();
+    assert!(keys.may_run(&key(), A));
+    keys.sweep(at(300));
+    assert_eq!(keys.arrived(key(), b"x", at(300)), Linked::To(A), "it may still have its effect");
+    assert_eq!(keys.join(&key(), B), None);
+    assert_eq!(keys.ended(A, Kept::Failed), [B]);
+    assert_eq!(keys.arrived(key(), b"x", at(301)), Linked::First);
+    keys.sweep(at(302));
+    assert!(!keys.knows(&key()));
+}
