--- a/node/src/fronts/jsonrpc.rs
+++ b/node/src/fronts/jsonrpc.rs
@@ -124,9 +124,9 @@
     /// Messages of late, in a row, that could not be served.
     unserved: u32,
     unread: Unread,
-    /// Close once everything is answered and written.
+    /// Close once everything is answered and written, unless one more request comes before that.
     leaving: bool,
-    /// The same, and read nothing more.
+    /// Close then, and read nothing more.
     deaf: bool,
 }
 
@@ -226,8 +226,9 @@
                     }
                     self.used = clock::now();
                     let whole = self.take_lines(&mut input).await;
-                    // A request came before it left, so it stays.
-                    self.leaving &= self.open.is_empty();
+                    // Where a request came before it left, it stays. Anything else was the last that is read.
+                    self.deaf |= self.leaving && self.open.is_empty();
+                    self.leaving &= self.deaf;
                     // A message that goes on to come is owed from when it began.
                     let since = if whole > 0 { None } else { self.owed };
                     self.owed = since.or((!input.is_empty()).then(|| self.used + OWED));
--- a/node/src/serve.rs
+++ b/node/src/serve.rs
@@ -366,7 +366,7 @@
 }
 
 /// Waits until nothing more comes in, all that was read is answered and every connection is closed; or until the time is
-/// up and every client has its answers. Guards those: before the stop, being there still owes nobody less than ending does.
+/// up and every client has its answers. Guards those against an end of its own accord that comes before the stop.
 async fn drained(exchange: &Exchange, stop: clock::Unix, closed: impl Future, paid: impl Future) {
     let (mut over, mut late) = (exchange.state(), exchange.state());
     let over = async {
