--- a/node/tests/sockets/windows.rs
+++ b/node/tests/sockets/windows.rs
@@ -35,7 +35,12 @@
     assert!(client.line().contains("am9iIDE="));
     // A door within the window counts, whenever the try is read; this one came with the first.
     window_passes();
-    client.say(first.replace("\"id\":1", "\"id\":2").replace("\"a1\"", "\"a2\"").replace("3000", "90000"));
+    client.say(
+        first
+            .replace("\"id\":1", "\"id\":2")
+            .replace("\"a1\"", "\"a2\"")
+            .replace("\"limit\":3000", "\"limit\":90000"),
+    );
     let late = client.line();
     assert!(late.contains("\"id\":2,\"result\":{\"content\":\"am9iIDE=\"}"), "{late}");
     client.request(3, "a3", Some("k"), SHORT);
