Review case 2: a process that upgrades a silent one runs its bookings a second time

Seen: a successor that gets no table of keys from its predecessor within 2 s says that it can serve, and takes keyed requests as new ones though the predecessor lives and has run them.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 mod node;
 mod record;
 mod restart_in_drain;
+mod silent_predecessor;
 
 use std::path::Path;
 use std::process::ExitCode;
@@ -36,6 +37,7 @@
         record.line(if trouble { "with the disruption" } else { "without the disruption" });
         let verdict = match &case[..] {
             "1" => restart_in_drain::run(trouble, folder, &record),
+            "2" => silent_predecessor::run(trouble, folder, &record),
             _ => Ok(Verdict::NotRun("no such case")),
         }?;
         record.line(&match verdict {
