Review case 3: an upgrade while the interpreter is silent loses the table of keys

Seen: the successor asks for the keys only once its interpreter answers. If that takes longer than the 6 s after which the platform sends SIGTERM, the predecessor ends with its table, and bookings that were answered run again.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 mod node;
 mod record;
 mod restart_in_drain;
+mod silent_interpreter;
 mod silent_predecessor;
 
 use std::path::Path;
@@ -38,6 +39,7 @@
         let verdict = match &case[..] {
             "1" => restart_in_drain::run(trouble, folder, &record),
             "2" => silent_predecessor::run(trouble, folder, &record),
+            "3" => silent_interpreter::run(trouble, folder, &record),
             _ => Ok(Verdict::NotRun("no such case")),
         }?;
         record.line(&match verdict {
