Let a successor that can't serve yet get the keys of a predecessor that drains

Cause: the successor connected to its predecessor only once its interpreter was reached (server/startup.rs, serve_clients: wait_until_servable came before handover::take_over). TAKE meant both 'send me the keys' and 'I accept the clients'. A predecessor that got SIGTERM before that knew of no successor, and its table ended with it.

Change: a successor connects at its start and sends STANDBY until it listens. The predecessor serves on; if it drains, it sends its table at the end of the grace period and ends by itself only once the table and all later ends of runs are written. A process with the table waits for successors of its own even if it can't serve. A successor takes only a socket that nobody listens on for the end of the predecessor; any other lost connection is made again, and the socket is replaced by a rename, so that the path never names nothing. Stores are taken back from a lost successor only if they had been released.

Ruled out: taking over without an interpreter (clients refused while the predecessor can serve them); a table kept up to date at the successor all along (a second replica of each key, without a gain for a predecessor that drains).

In the golden test of a table that breaks off, the stand-in predecessor now closes its socket as well: as long as it is open, the process that serves is not known to have ended.

--- a/node/src/dispatcher.rs
+++ b/node/src/dispatcher.rs
@@ -162,7 +162,8 @@
     /// Time of the next wake-up if no event arrives earlier.
     fn next_wake(&self) -> UnixTime {
         let grace_end = self.grace_ends_at().filter(|_| self.status().accepting);
-        let scheduled = [self.timers.next_wake(), grace_end, self.handover.next_wake()];
+        let handover_step = self.handover.next_wake(self.standby_transfer_at());
+        let scheduled = [self.timers.next_wake(), grace_end, handover_step];
         scheduled.into_iter().flatten().min().unwrap_or_else(|| clock::now() + IDLE_WAKE_INTERVAL)
     }
 
@@ -215,8 +216,9 @@
 
     fn update_drain_status(&self, now: UnixTime) {
         let accepting = self.grace_ends_at().is_none_or(|at| now < at);
-        let drained =
-            self.status().draining.is_some() && !self.attempts.iter().any(|attempt| self.is_awaited(attempt));
+        let drained = self.status().draining.is_some()
+            && !self.handover.owes_state()
+            && !self.attempts.iter().any(|attempt| self.is_awaited(attempt));
         self.update_status(|status| {
             status.accepting = accepting;
             status.drained = drained;
@@ -244,7 +246,9 @@
             DispatcherEvent::SetMaintenance(on) => self.update_status(|status| status.maintenance = on),
             DispatcherEvent::SetRecovering(on) => self.update_status(|status| status.recovering = on),
             DispatcherEvent::Reconfigure { settings, digest } => self.reconfigure(*settings, &digest),
+            DispatcherEvent::SuccessorStandsBy(updates) => self.successor_stands_by(updates),
             DispatcherEvent::BeginHandover(updates) => self.begin_handover(updates),
+            DispatcherEvent::UpdateWritten => self.handover.update_written(),
             DispatcherEvent::SuccessorLost => self.successor_lost(),
             DispatcherEvent::StateReceived(state) => self.receive_state(state),
             DispatcherEvent::PredecessorDone => self.predecessor_done(),
--- a/node/src/dispatcher/handover.rs
+++ b/node/src/dispatcher/handover.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc;
 
 use super::attempts::{Phase, TIMEOUT_MARGIN};
-use super::handover_progress::Successor;
+use super::handover_progress::{HandoverStage, Successor};
 use super::idempotency::{AssignedKey, ImportedOutcome};
 use super::Dispatcher;
 use crate::clock::{self, UnixTime};
@@ -24,21 +24,48 @@
 /// Delay between directing clients to the successor and transferring the idempotency table. Requests that
 /// clients send before they learn of the successor still run here.
 const TRANSFER_DELAY: Duration = Duration::from_millis(100);
+/// How long before this process is stopped a successor on standby gets the table, if the grace period of the
+/// drain lasts longer than that.
+const STANDBY_TRANSFER_MARGIN: Duration = Duration::from_millis(500);
 
 /// This process as the predecessor: it transfers its state.
 impl Dispatcher {
-    /// Starts a handover: clients are directed to the successor, and the table follows after [`TRANSFER_DELAY`].
+    /// Registers a successor that can't serve yet. This process serves on, and does not end by itself before
+    /// the successor has its table.
+    pub(super) fn successor_stands_by(&mut self, updates: mpsc::Sender<HandoverState>) {
+        self.handover.successor = Some(Successor::new(updates, HandoverStage::Standby));
+    }
+
+    /// When a successor on standby gets the table: at the end of the drain's grace period, after which no new key
+    /// runs here. `None` without a shutdown notice.
+    pub(super) fn standby_transfer_at(&self) -> Option<UnixTime> {
+        let grace_end = self.grace_ends_at()?;
+        let stops_at = self.status().draining?.stops_at;
+        Some(grace_end.min(stops_at.saturating_sub(STANDBY_TRANSFER_MARGIN)))
+    }
+
+    /// Starts a handover: clients are directed to the successor, and the table follows after [`TRANSFER_DELAY`],
+    /// unless this successor got it while it stood by.
     pub(super) fn begin_handover(&mut self, updates: mpsc::Sender<HandoverState>) {
-        let transfer_at = clock::now() + TRANSFER_DELAY;
-        self.handover.successor = Some(Successor { updates, transfer_at, transferred: false });
+        let has_table = self.handover.successor.as_ref().is_some_and(|successor| {
+            successor.stage == HandoverStage::Transferred && successor.updates.same_channel(&updates)
+        });
+        if !has_table {
+            let delayed = clock::now() + TRANSFER_DELAY;
+            let transfer_at = self.standby_transfer_at().map_or(delayed, |at| at.min(delayed));
+            self.handover.successor =
+                Some(Successor::new(updates, HandoverStage::TakingOver { transfer_at }));
+        }
         self.update_status(|status| status.handed_over = true);
     }
 
-    /// Called when the successor process has ended: this process takes back the stores of keys and results
-    /// and continues to serve, unless it is draining.
+    /// Called when the successor process has ended: this process takes back the stores of keys and results, if
+    /// it has released them, and continues to serve, unless it is draining.
     pub(super) fn successor_lost(&mut self) {
         self.handover.successor = None;
-        self.run_gate.acquire_stores(KeySource::Store);
+        if std::mem::take(&mut self.handover.stores_released) {
+            self.run_gate.acquire_stores(KeySource::Store);
+        }
         self.update_status(|status| {
             // A draining process still directs its clients to other nodes.
             if status.draining.is_none() {
@@ -49,16 +76,18 @@
 
     /// Whether the idempotency table has been transferred, so that no key may be added here.
     pub(super) fn state_is_transferred(&self) -> bool {
-        self.handover.successor.as_ref().is_some_and(|successor| successor.transferred)
+        let successor = self.handover.successor.as_ref();
+        successor.is_some_and(|successor| successor.stage == HandoverStage::Transferred)
     }
 
     /// Transfers the idempotency table to the successor when that is due.
     pub(super) fn transfer_state(&mut self, now: UnixTime) {
+        let standby_transfer_at = self.standby_transfer_at();
         let Some(successor) = &mut self.handover.successor else { return };
-        if successor.transferred || now < successor.transfer_at {
+        if successor.transfer_at(standby_transfer_at).is_none_or(|at| now < at) {
             return;
         }
-        successor.transferred = true;
+        successor.stage = HandoverStage::Transferred;
         self.release_stores();
         self.send_to_successor(self.idempotency.snapshot());
     }
@@ -68,6 +97,7 @@
         let queued = self.attempts.iter().filter(|attempt| attempt.phase == Phase::Queued);
         let runs: Vec<KeyedRun> = queued.filter_map(|attempt| self.keyed_run(attempt.id)).collect();
         self.run_gate.release_stores(&runs);
+        self.handover.stores_released = true;
     }
 
     /// Reports the state of a run to the successor, if the attempt holds a key.
@@ -85,7 +115,8 @@
     }
 
     fn send_to_successor(&mut self, state: HandoverState) {
-        let Some(successor) = &self.handover.successor else { return };
+        let Some(successor) = &mut self.handover.successor else { return };
+        successor.unwritten_updates += 1;
         if successor.updates.try_send(state).is_err() {
             log!("handover: update queue to the successor is full or closed, no further updates are sent");
             self.handover.successor = None;
--- a/node/src/dispatcher/handover_progress.rs
+++ b/node/src/dispatcher/handover_progress.rs
@@ -15,6 +15,8 @@
 pub(super) struct HandoverProgress {
     /// The process that takes over from this one; `None` if no such process runs.
     pub(super) successor: Option<Successor>,
+    /// Whether the stores of keys and results have been released to the successor.
+    pub(super) stores_released: bool,
     /// Attempts with keys that arrived before the predecessor's table. Their number is bounded by the number
     /// of requests that clients may have open on their connections.
     pub(super) buffered: Vec<Submission>,
@@ -25,21 +27,64 @@
 
 impl HandoverProgress {
     /// Time of the next step: transferring the table or rejecting the buffered attempt with the nearest deadline.
-    pub(super) fn next_wake(&self) -> Option<UnixTime> {
-        let transfer = self.successor.as_ref().filter(|successor| !successor.transferred);
-        let transfer_at = transfer.map(|successor| successor.transfer_at);
+    /// `standby_transfer_at` is when a successor on standby gets the table.
+    pub(super) fn next_wake(&self, standby_transfer_at: Option<UnixTime>) -> Option<UnixTime> {
+        let successor = self.successor.as_ref();
+        let transfer_at = successor.and_then(|successor| successor.transfer_at(standby_transfer_at));
         let deadlines = self.buffered.iter().map(|submission| submission.request.deadline);
         let reject_at = deadlines.map(|deadline| deadline.saturating_sub(TIMEOUT_MARGIN)).min();
         transfer_at.into_iter().chain(reject_at).min()
     }
+
+    /// Whether a successor is still to get state that only this process has.
+    pub(super) fn owes_state(&self) -> bool {
+        self.successor.as_ref().is_some_and(Successor::lacks_state)
+    }
+
+    /// Registers that one queued update has been written to the successor.
+    pub(super) fn update_written(&mut self) {
+        if let Some(successor) = &mut self.successor {
+            successor.unwritten_updates = successor.unwritten_updates.saturating_sub(1);
+        }
+    }
+}
+
+/// How far the handover to a successor has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum HandoverStage {
+    /// The successor can't serve yet. It gets the table if this process drains before it can.
+    Standby,
+    /// The successor accepts the clients, and the table is to be transferred at this time.
+    TakingOver { transfer_at: UnixTime },
+    /// The table has been queued for the successor, and no key may be added here.
+    Transferred,
 }
 
 /// The process that takes over from this one.
 pub(super) struct Successor {
     /// Queue on which the idempotency table and later changes to it are sent to the successor.
     pub(super) updates: mpsc::Sender<HandoverState>,
-    /// When the idempotency table is to be transferred.
-    pub(super) transfer_at: UnixTime,
-    /// Whether the idempotency table has been transferred.
-    pub(super) transferred: bool,
+    pub(super) stage: HandoverStage,
+    /// Number of queued updates that have not been written to the successor.
+    pub(super) unwritten_updates: usize,
+}
+
+impl Successor {
+    /// A successor to which nothing has been sent yet.
+    pub(super) fn new(updates: mpsc::Sender<HandoverState>, stage: HandoverStage) -> Self {
+        Successor { updates, stage, unwritten_updates: 0 }
+    }
+
+    /// When the table is to be transferred; `None` if it has been, or no time is set yet.
+    pub(super) fn transfer_at(&self, standby_transfer_at: Option<UnixTime>) -> Option<UnixTime> {
+        match self.stage {
+            HandoverStage::Standby => standby_transfer_at,
+            HandoverStage::TakingOver { transfer_at } => Some(transfer_at),
+            HandoverStage::Transferred => None,
+        }
+    }
+
+    fn lacks_state(&self) -> bool {
+        self.stage == HandoverStage::Standby || self.unwritten_updates > 0
+    }
 }
--- a/node/src/exchange.rs
+++ b/node/src/exchange.rs
@@ -129,11 +129,22 @@
         self.send(DispatcherEvent::Reconfigure { settings: Box::new(settings), digest }).await;
     }
 
+    /// Reports a successor process that can't serve yet. `updates` receives the state as in
+    /// [`Self::begin_handover`], if this process drains before the successor takes over.
+    pub(crate) async fn successor_stands_by(&self, updates: mpsc::Sender<HandoverState>) {
+        self.send(DispatcherEvent::SuccessorStandsBy(updates)).await;
+    }
+
     /// Starts a handover to a successor process. `updates` receives the whole state first, then each change of it.
     pub(crate) async fn begin_handover(&self, updates: mpsc::Sender<HandoverState>) {
         self.send(DispatcherEvent::BeginHandover(updates)).await;
     }
 
+    /// Reports that one item of the queue of updates has been written to the successor.
+    pub(crate) async fn update_written(&self) {
+        self.send(DispatcherEvent::UpdateWritten).await;
+    }
+
     /// Reports that the successor process has ended.
     pub(crate) async fn successor_lost(&self) {
         self.send(DispatcherEvent::SuccessorLost).await;
--- a/node/src/exchange/event.rs
+++ b/node/src/exchange/event.rs
@@ -31,8 +31,13 @@
         /// Digest that identifies the settings in decision records.
         digest: String,
     },
+    /// A successor process runs and can't serve yet. If this process drains before it can, its state is sent
+    /// through this queue.
+    SuccessorStandsBy(mpsc::Sender<HandoverState>),
     /// A successor process takes over. The state of this process is sent to it through this queue.
     BeginHandover(mpsc::Sender<HandoverState>),
+    /// One item of the queue has been written to the successor.
+    UpdateWritten,
     /// The successor process has ended.
     SuccessorLost,
     /// The predecessor's state, or a change of it.
--- a/node/src/exchange/status.rs
+++ b/node/src/exchange/status.rs
@@ -36,7 +36,8 @@
     pub(crate) predecessor_alive: bool,
     /// Whether requests that arrive are still read.
     pub(crate) accepting: bool,
-    /// Whether, after the shutdown notice, all open requests have been answered.
+    /// Whether, after the shutdown notice, all open requests have been answered and nothing is to be sent to a
+    /// successor.
     pub(crate) drained: bool,
 }
 
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -5,6 +5,7 @@
 //!
 //! | from | line | meaning |
 //! | --- | --- | --- |
+//! | successor | `STANDBY` | the successor runs and can't serve yet; if the predecessor drains before it can, it sends its state all the same |
 //! | successor | `TAKE` | the successor listens and can serve; the predecessor directs its clients to it and closes its listeners |
 //! | successor | `PASSED` | a further process has taken over from the successor |
 //! | predecessor | `SEED HEX` | the seed of body digests |
@@ -15,7 +16,10 @@
 //! predecessor rejects keys that it does not know, and until it has received the table the successor buffers
 //! attempts with keys.
 //!
-//! The other process may be of an older release, so the lines and the name of the socket must not change.
+//! The other process may be of an older release, so the lines and the name of the socket must not change. A
+//! predecessor that does not know `STANDBY` closes the connection, and the successor connects again.
+//!
+//! `docs/handover.md` has the states of a handover, and which process holds the keys in each.
 
 mod message;
 mod predecessor;
--- a/node/src/handover/message.rs
+++ b/node/src/handover/message.rs
@@ -8,6 +8,8 @@
 use crate::line_codec::{self, Message, ProtocolError, MAX_BODY};
 use crate::outcome::{BodyDigest, IdempotencyRecord, RunState};
 
+/// The successor's report that it waits until it can serve.
+pub(super) const STAND_BY: &[u8] = b"STANDBY\r\n";
 /// The successor's request to take over.
 pub(super) const TAKE_OVER: &[u8] = b"TAKE\r\n";
 /// The successor's report that a further process has taken over from it.
@@ -17,6 +19,8 @@
 /// its whole table after the request. The predecessor also waits this long after it failed to accept a
 /// connection.
 pub(super) const REPLY_TIMEOUT: Duration = Duration::from_secs(2);
+/// Length from which a line of the successor is not read on, in bytes.
+const MAX_LINE_BYTES: usize = 64;
 
 // Positions of the fields in the predecessor's messages; field 0 is the kind.
 const NUMBER_FIELD: usize = 1;
@@ -24,6 +28,31 @@
 const STATE_FIELD: usize = 3;
 const KEY_LENGTH_FIELD: usize = 4;
 
+/// A message from the successor.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum SuccessorMessage {
+    /// It runs, and waits until it can serve.
+    StandBy,
+    /// It listens and can serve.
+    TakeOver,
+    /// A further process has taken over from it, or it sent a line that this release does not know.
+    Superseded,
+}
+
+/// Removes the next message of the successor from the input; none until the line is complete.
+pub(super) fn decode_successor(input: &mut BytesMut) -> Option<SuccessorMessage> {
+    let line_end = input.iter().position(|byte| *byte == b'\n');
+    if line_end.is_none() && input.len() < MAX_LINE_BYTES {
+        return None;
+    }
+    let line = input.split_to(line_end.map_or(input.len(), |end| end + 1));
+    Some(match &line[..] {
+        STAND_BY => SuccessorMessage::StandBy,
+        TAKE_OVER => SuccessorMessage::TakeOver,
+        _ => SuccessorMessage::Superseded,
+    })
+}
+
 /// A message from the predecessor.
 #[derive(Debug, PartialEq)]
 pub(super) enum PredecessorMessage {
--- a/node/src/handover/predecessor.rs
+++ b/node/src/handover/predecessor.rs
@@ -8,7 +8,7 @@
 use tokio::net::{UnixListener, UnixStream};
 use tokio::sync::mpsc;
 
-use super::message::{self, PredecessorMessage, REPLY_TIMEOUT, TAKE_OVER};
+use super::message::{self, PredecessorMessage, SuccessorMessage, REPLY_TIMEOUT};
 use crate::clock;
 use crate::exchange::{Exchange, HandoverState};
 use crate::log;
@@ -21,9 +21,7 @@
 /// successor.
 pub(crate) async fn serve_successors(socket_path: &Path, exchange: Exchange) {
     loop {
-        // An existing socket file was left by a process that has handed over or has ended.
-        let _ = std::fs::remove_file(socket_path);
-        let listener = match UnixListener::bind(socket_path) {
+        let listener = match bind(socket_path) {
             Ok(listener) => listener,
             Err(error) => {
                 let socket = socket_path.display();
@@ -35,6 +33,10 @@
         loop {
             match run_handover(&listener, &exchange).await {
                 HandoverOutcome::NotRequested => {}
+                HandoverOutcome::StandbyEnded => {
+                    log!("handover: successor ended before it took over");
+                    exchange.successor_lost().await;
+                }
                 HandoverOutcome::Superseded => {
                     return log!("handover: successor superseded, another process has taken over in turn")
                 }
@@ -47,71 +49,178 @@
     }
 }
 
+/// Listens on the socket, in place of a process that has handed over or has ended. The path names a socket at any
+/// time: a successor that found none would conclude that this process has ended.
+fn bind(socket_path: &Path) -> io::Result<UnixListener> {
+    let temporary_path = socket_path.with_file_name(format!(".oakwind-{}", std::process::id()));
+    let _ = std::fs::remove_file(&temporary_path);
+    let listener = UnixListener::bind(&temporary_path)?;
+    std::fs::rename(&temporary_path, socket_path)?;
+    Ok(listener)
+}
+
 /// How a connection from another process ended.
 #[derive(Debug, PartialEq)]
 pub(super) enum HandoverOutcome {
     /// The other process did not request to take over; it may only have checked whether a process serves
     /// here.
     NotRequested,
+    /// The successor ended before it took over, and has no state of this process.
+    StandbyEnded,
     /// The successor took over and has ended, or the connection to it was lost.
     SuccessorEnded,
     /// The successor took over, and a further process has taken over from it.
     Superseded,
 }
 
-/// Hands over to the next process that connects, if it requests to take over. Returns once the handover has
-/// ended.
-pub(super) async fn run_handover(listener: &UnixListener, exchange: &Exchange) -> HandoverOutcome {
-    let mut successor = match listener.accept().await {
-        Ok((successor, _)) => successor,
+/// The connection to another process of this node.
+struct Link {
+    stream: UnixStream,
+    input: BytesMut,
+}
+
+impl Link {
+    /// Waits for the next message; `None` if the other process has ended or the connection is lost. No input is
+    /// lost if the wait is cancelled.
+    async fn next_message(&mut self) -> Option<SuccessorMessage> {
+        loop {
+            if let Some(message) = message::decode_successor(&mut self.input) {
+                return Some(message);
+            }
+            match self.stream.read_buf(&mut self.input).await {
+                Ok(0) | Err(_) => return None,
+                Ok(_) => {}
+            }
+        }
+    }
+}
+
+/// Waits for the next process that connects, and for its first message. `None` if it sends none in time.
+async fn next_candidate(listener: &UnixListener) -> Option<(Link, SuccessorMessage)> {
+    let stream = match listener.accept().await {
+        Ok((stream, _)) => stream,
         Err(error) => {
             log!("handover: connection not accepted, retrying: error={error}");
             clock::until(clock::now() + REPLY_TIMEOUT).await;
-            return HandoverOutcome::NotRequested;
+            return None;
         }
     };
-    let mut request = [0; TAKE_OVER.len()];
-    tokio::select! {
-        read = successor.read_exact(&mut request) => {
-            if read.is_err() || request != TAKE_OVER {
-                return HandoverOutcome::NotRequested;
-            }
-        }
-        () = clock::until(clock::now() + REPLY_TIMEOUT) => return HandoverOutcome::NotRequested,
+    let mut link = Link { stream, input: BytesMut::new() };
+    let message = tokio::select! {
+        message = link.next_message() => message?,
+        () = clock::until(clock::now() + REPLY_TIMEOUT) => return None,
+    };
+    Some((link, message))
+}
+
+/// Hands over to the next process that connects, if it requests to take over, now or once it can serve. Returns
+/// once the handover has ended.
+pub(super) async fn run_handover(listener: &UnixListener, exchange: &Exchange) -> HandoverOutcome {
+    match next_candidate(listener).await {
+        Some((link, SuccessorMessage::StandBy)) => serve_standby(listener, link, exchange).await,
+        Some((link, SuccessorMessage::TakeOver)) => hand_over(link, exchange).await,
+        Some((_, SuccessorMessage::Superseded)) | None => HandoverOutcome::NotRequested,
     }
+}
+
+/// Hands over to a successor that can serve.
+async fn hand_over(link: Link, exchange: &Exchange) -> HandoverOutcome {
     log!("handover: successor takes over, state transfer begins");
-    let (updates, queued_updates) = mpsc::channel(MAX_QUEUED_UPDATES);
+    let (updates, queued) = mpsc::channel(MAX_QUEUED_UPDATES);
+    let sender = updates.downgrade();
     exchange.begin_handover(updates).await;
-    send_updates(&mut successor, queued_updates).await
+    Handover { link, sender, queued, exchange, table_sent: false }.run().await
 }
 
-/// Sends the table and every later update, until the successor ends or is superseded.
-async fn send_updates(
-    successor: &mut UnixStream,
-    mut updates: mpsc::Receiver<HandoverState>,
-) -> HandoverOutcome {
-    let mut is_table = true;
-    let mut input = [0];
+/// Keeps a successor that can't serve yet on standby, until it takes over, this process has to transfer its
+/// state because it drains, or another process takes over instead. A second process that stands by is
+/// disconnected; it connects again until it can serve.
+async fn serve_standby(listener: &UnixListener, mut standby: Link, exchange: &Exchange) -> HandoverOutcome {
+    log!("handover: successor stands by until it can serve");
+    let (updates, mut queued) = mpsc::channel(MAX_QUEUED_UPDATES);
+    let sender = updates.downgrade();
+    exchange.successor_stands_by(updates).await;
+    let mut next = Box::pin(next_candidate(listener));
     loop {
         tokio::select! {
-            update = updates.recv() => {
-                let Some(update) = update else { return HandoverOutcome::SuccessorEnded };
-                if let Err(error) = send_update(successor, update, is_table).await {
-                    log!("handover: state not sent to the successor: error={error}");
-                    return HandoverOutcome::SuccessorEnded;
+            table = queued.recv() => {
+                let Some(table) = table else { return HandoverOutcome::StandbyEnded };
+                log!("handover: draining before the successor can serve, state transfer begins");
+                let mut handover = Handover { link: standby, sender, queued, exchange, table_sent: false };
+                return match handover.send_update(table).await {
+                    Ok(()) => handover.run().await,
+                    Err(outcome) => outcome,
+                };
+            }
+            message = standby.next_message() => {
+                let take_over = message.filter(|message| *message == SuccessorMessage::TakeOver);
+                let Some(updates) = take_over.and_then(|_| sender.upgrade()) else {
+                    return HandoverOutcome::StandbyEnded;
+                };
+                log!("handover: successor takes over, state transfer begins");
+                exchange.begin_handover(updates).await;
+                return Handover { link: standby, sender, queued, exchange, table_sent: false }.run().await;
+            }
+            candidate = &mut next => match candidate {
+                Some((link, SuccessorMessage::TakeOver)) => {
+                    drop(standby);
+                    return hand_over(link, exchange).await;
                 }
-                is_table = false;
+                _ => next = Box::pin(next_candidate(listener)),
             }
-            // After its request a successor sends nothing except that it was superseded.
-            read = successor.read(&mut input) => {
-                let is_superseded = read.is_ok_and(|length| length > 0);
-                return if is_superseded { HandoverOutcome::Superseded } else { HandoverOutcome::SuccessorEnded };
+        }
+    }
+}
+
+/// The transfer of state to a successor.
+struct Handover<'a> {
+    link: Link,
+    /// The dispatcher's end of the queue; gone once the dispatcher sends no more updates.
+    sender: mpsc::WeakSender<HandoverState>,
+    queued: mpsc::Receiver<HandoverState>,
+    exchange: &'a Exchange,
+    table_sent: bool,
+}
+
+impl Handover<'_> {
+    /// Sends the table and every later update, until the successor ends or is superseded.
+    async fn run(&mut self) -> HandoverOutcome {
+        loop {
+            tokio::select! {
+                update = self.queued.recv() => {
+                    let Some(update) = update else { return HandoverOutcome::SuccessorEnded };
+                    if let Err(outcome) = self.send_update(update).await {
+                        return outcome;
+                    }
+                }
+                message = self.link.next_message() => match message {
+                    // The successor got the table while it stood by, and can serve now.
+                    Some(SuccessorMessage::TakeOver) => {
+                        let Some(updates) = self.sender.upgrade() else { return HandoverOutcome::SuccessorEnded };
+                        self.exchange.begin_handover(updates).await;
+                    }
+                    // After its request a successor sends nothing except that it was superseded.
+                    Some(_) => return HandoverOutcome::Superseded,
+                    None => return HandoverOutcome::SuccessorEnded,
+                },
             }
         }
     }
+
+    /// Writes an update, the first of which is the table, and reports that to the dispatcher.
+    async fn send_update(&mut self, update: HandoverState) -> Result<(), HandoverOutcome> {
+        let mut output = encode_update(update, !self.table_sent);
+        if let Err(error) = self.link.stream.write_all_buf(&mut output).await {
+            log!("handover: state not sent to the successor: error={error}");
+            return Err(HandoverOutcome::SuccessorEnded);
+        }
+        self.table_sent = true;
+        self.exchange.update_written().await;
+        Ok(())
+    }
 }
 
-async fn send_update(successor: &mut UnixStream, update: HandoverState, is_table: bool) -> io::Result<()> {
+fn encode_update(update: HandoverState, is_table: bool) -> BytesMut {
     let mut output = BytesMut::new();
     if is_table {
         message::encode(&mut output, &PredecessorMessage::DigestSeed(update.digest_seed));
@@ -122,5 +231,5 @@
     if is_table {
         message::encode(&mut output, &PredecessorMessage::TableComplete);
     }
-    successor.write_all_buf(&mut output).await
+    output
 }
--- a/node/src/handover/tests/golden.rs
+++ b/node/src/handover/tests/golden.rs
@@ -8,6 +8,7 @@
 use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{UnixListener, UnixStream};
+use tokio::sync::watch;
 
 use crate::exchange::{self, DispatcherEndpoints, DispatcherEvent, Endpoints, HandoverState, StartMode};
 use crate::handover::message::{decode, encode, PredecessorMessage};
@@ -21,6 +22,7 @@
 const FAILED: &str = "4b4559203330302031373634353736303030313235206661696c6564203420340d0a6b6579330d0a";
 const FREE: &str =
     "4b4559206666666666666666666666666666666620313736343537363030303132362066726565203020300d0a0d0a";
+const STANDBY: &str = "5354414e4442590d0a";
 const TAKE: &str = "54414b450d0a";
 const PASSED: &str = "5041535345440d0a";
 const SEED: &str = "5345454420666564636261393837363534333231300d0a";
@@ -71,6 +73,11 @@
     path
 }
 
+/// Whether the successor listens, as [`take_over`] gets it.
+fn listening(is_listening: bool) -> watch::Receiver<bool> {
+    watch::channel(is_listening).1
+}
+
 /// Reads as many bytes as the hexadecimal text `expected` stands for, and returns them in hexadecimal.
 async fn read_hex(stream: &mut UnixStream, expected: &str) -> String {
     let mut read = vec![0; expected.len() / 2];
@@ -204,7 +211,7 @@
         let Endpoints { exchange, mut dispatcher, backend: _backend } = exchange::new(AWAITING_STATE);
         let path = test_socket("new");
         let listener = UnixListener::bind(&path).unwrap();
-        let successor = take_over(path.clone(), exchange);
+        let successor = take_over(path.clone(), exchange, listening(true));
         let predecessor = async {
             let (mut predecessor, _) = listener.accept().await.unwrap();
             assert_eq!(read_hex(&mut predecessor, TAKE).await, TAKE);
@@ -228,6 +235,96 @@
     });
 }
 
+#[test]
+fn a_successor_that_does_not_listen_yet_stands_by_and_receives_a_table_before_it_takes_over() {
+    run(async {
+        let Endpoints { exchange, mut dispatcher, backend: _backend } = exchange::new(AWAITING_STATE);
+        let path = test_socket("standby");
+        let listener = UnixListener::bind(&path).unwrap();
+        let (listens, listening) = watch::channel(false);
+        let predecessor = async {
+            // A predecessor of an earlier release closes the connection.
+            let (mut predecessor, _) = listener.accept().await.unwrap();
+            assert_eq!(read_hex(&mut predecessor, STANDBY).await, STANDBY);
+            drop(predecessor);
+            let (mut predecessor, _) = listener.accept().await.unwrap();
+            assert_eq!(read_hex(&mut predecessor, STANDBY).await, STANDBY);
+            predecessor.write_all(&bytes(&whole_table())).await.unwrap();
+            let DispatcherEvent::StateReceived(state) = next_event(&mut dispatcher).await else { panic!() };
+            assert_eq!((state.digest_seed, state.records), (DIGEST_SEED, vec![open(), done()]));
+            listens.send_replace(true);
+            assert_eq!(read_hex(&mut predecessor, TAKE).await, TAKE);
+            drop(predecessor);
+            assert!(matches!(next_event(&mut dispatcher).await, DispatcherEvent::PredecessorDone));
+        };
+        tokio::join!(take_over(path.clone(), exchange, listening), predecessor);
+        std::fs::remove_file(path).unwrap();
+    });
+}
+
+#[test]
+fn the_predecessor_keeps_one_successor_on_standby_and_hands_over_to_another_that_takes_over() {
+    run(async {
+        let Endpoints { exchange, mut dispatcher, backend: _backend } = exchange::new(StartMode::default());
+        let path = test_socket("standbys");
+        let listener = UnixListener::bind(&path).unwrap();
+        let successors = async {
+            let mut standby = UnixStream::connect(&path).await.unwrap();
+            standby.write_all(&bytes(STANDBY)).await.unwrap();
+            let DispatcherEvent::SuccessorStandsBy(_updates) = next_event(&mut dispatcher).await else {
+                panic!()
+            };
+            let mut second = UnixStream::connect(&path).await.unwrap();
+            second.write_all(&bytes(STANDBY)).await.unwrap();
+            assert_eq!(second.read(&mut [0]).await.unwrap(), 0, "it is told to connect again");
+            let mut third = UnixStream::connect(&path).await.unwrap();
+            third.write_all(&bytes(TAKE)).await.unwrap();
+            let DispatcherEvent::BeginHandover(updates) = next_event(&mut dispatcher).await else { panic!() };
+            assert_eq!(standby.read(&mut [0]).await.unwrap(), 0);
+            let table = HandoverState { digest_seed: DIGEST_SEED, records: vec![open(), done()] };
+            updates.send(table).await.unwrap();
+            assert_eq!(read_hex(&mut third, &whole_table()).await, whole_table());
+            assert!(matches!(next_event(&mut dispatcher).await, DispatcherEvent::UpdateWritten));
+        };
+        assert_eq!(
+            tokio::join!(run_handover(&listener, &exchange), successors).0,
+            HandoverOutcome::SuccessorEnded
+        );
+        std::fs::remove_file(path).unwrap();
+    });
+}
+
+#[test]
+fn a_successor_on_standby_gets_the_table_when_it_is_due_and_may_take_over_later() {
+    run(async {
+        let Endpoints { exchange, mut dispatcher, backend: _backend } = exchange::new(StartMode::default());
+        let path = test_socket("due");
+        let listener = UnixListener::bind(&path).unwrap();
+        let successor = async {
+            let mut successor = UnixStream::connect(&path).await.unwrap();
+            successor.write_all(&bytes(STANDBY)).await.unwrap();
+            let DispatcherEvent::SuccessorStandsBy(updates) = next_event(&mut dispatcher).await else {
+                panic!()
+            };
+            let table = HandoverState { digest_seed: DIGEST_SEED, records: vec![open(), done()] };
+            updates.send(table).await.unwrap();
+            assert_eq!(read_hex(&mut successor, &whole_table()).await, whole_table());
+            assert!(matches!(next_event(&mut dispatcher).await, DispatcherEvent::UpdateWritten));
+            successor.write_all(&bytes(TAKE)).await.unwrap();
+            let DispatcherEvent::BeginHandover(same) = next_event(&mut dispatcher).await else { panic!() };
+            assert!(same.same_channel(&updates));
+            updates.send(HandoverState { digest_seed: 0, records: vec![failed()] }).await.unwrap();
+            assert_eq!(read_hex(&mut successor, FAILED).await, FAILED);
+            (updates, same)
+        };
+        assert_eq!(
+            tokio::join!(run_handover(&listener, &exchange), successor).0,
+            HandoverOutcome::SuccessorEnded
+        );
+        std::fs::remove_file(path).unwrap();
+    });
+}
+
 #[test]
 fn an_empty_table_is_transferred_as_well() {
     run(async {
@@ -241,7 +338,7 @@
             assert_eq!((state.digest_seed, state.records), (DIGEST_SEED, vec![]));
             dispatcher.status.send_modify(|status| status.awaiting_state = false);
         };
-        tokio::join!(take_over(path.clone(), exchange), predecessor);
+        tokio::join!(take_over(path.clone(), exchange, listening(true)), predecessor);
         std::fs::remove_file(path).unwrap();
     });
 }
@@ -257,10 +354,11 @@
                 let (mut predecessor, _) = listener.accept().await.unwrap();
                 assert_eq!(read_hex(&mut predecessor, TAKE).await, TAKE);
                 predecessor.write_all(&bytes(&sent)).await.unwrap();
-                drop(predecessor);
+                // While the socket is open, the process that serves is not known to have ended.
+                drop((predecessor, listener));
                 assert!(matches!(next_event(&mut dispatcher).await, DispatcherEvent::PredecessorDone));
             };
-            tokio::join!(take_over(path.clone(), exchange), predecessor);
+            tokio::join!(take_over(path.clone(), exchange, listening(true)), predecessor);
             std::fs::remove_file(path).unwrap();
         });
     }
--- a/node/src/server/startup.rs
+++ b/node/src/server/startup.rs
@@ -23,7 +23,7 @@
 use crate::decision_log::{settings_digest, DecisionLog};
 use crate::dispatcher::Dispatcher;
 use crate::exchange::{
-    self, BackendEndpoints, DispatcherEndpoints, Endpoints, Exchange, HandoverState, StartMode,
+    self, BackendEndpoints, DispatcherEndpoints, Endpoints, Exchange, HandoverState, NodeStatus, StartMode,
 };
 use crate::frontend::connection_limiter::ConnectionLimiter;
 use crate::frontend::uwsgi::{RequestIds, UwsgiFrontend};
@@ -232,6 +232,11 @@
         &self,
         vrrp_active: Option<watch::Receiver<bool>>,
     ) -> Result<Infallible, StartupError> {
+        let (listening, is_listening) = watch::channel(false);
+        if let Some(socket) = &self.handover_socket {
+            let exchange = self.exchange.clone();
+            spawn_local(take_part_in_upgrades(socket.clone(), exchange, is_listening, self.is_upgrade));
+        }
         if self.is_upgrade {
             self.wait_until_servable().await;
         }
@@ -241,23 +246,19 @@
         }
         let name = self.config.name.clone();
         spawn_local(heartbeat::report(name, self.upstream_addresses.clone(), self.exchange.clone()));
-        if let Some(socket) = &self.handover_socket {
-            if self.is_upgrade {
-                spawn_local(handover::take_over(socket.clone(), self.exchange.clone()));
-                if self.exchange.status().wait_for(|status| !status.awaiting_state).await.is_ok() {
-                    log!("handover: completed");
-                }
-            }
-            handover::serve_successors(socket, self.exchange.clone()).await;
+        listening.send_replace(true);
+        if self.is_upgrade && self.exchange.status().wait_for(|status| !status.awaiting_state).await.is_ok() {
+            log!("handover: completed");
         }
         std::future::pending().await
     }
 
     /// Waits until the backend is up. The predecessor serves until then, and a process that receives the
-    /// shutdown notice before that does not take over.
+    /// shutdown notice before that, or has handed over itself, does not take over.
     async fn wait_until_servable(&self) {
-        let mut status = self.exchange.status();
-        if status.wait_for(|status| status.health.is_some() && status.draining.is_none()).await.is_ok() {
+        let is_servable =
+            |status: &NodeStatus| status.health.is_some() && status.draining.is_none() && !status.handed_over;
+        if self.exchange.status().wait_for(is_servable).await.is_ok() {
             log!("handover: taking over");
         }
     }
@@ -317,6 +318,25 @@
     }
 }
 
+/// Takes over from the predecessor, if there is one, and then waits for successors. A process that has the keys
+/// waits for a successor even if it can't serve yet.
+async fn take_part_in_upgrades(
+    socket: PathBuf,
+    exchange: Exchange,
+    mut listening: watch::Receiver<bool>,
+    is_upgrade: bool,
+) {
+    if is_upgrade {
+        spawn_local(handover::take_over(socket.clone(), exchange.clone(), listening));
+        let mut status = exchange.status();
+        // An error can't occur in practice: the status is published for as long as the process lasts.
+        let _ = status.wait_for(|status| !status.awaiting_state).await;
+    } else if listening.wait_for(|listening| *listening).await.is_err() {
+        return;
+    }
+    handover::serve_successors(&socket, exchange).await;
+}
+
 /// The role of a node without a virtual router: always active.
 fn always_active() -> watch::Receiver<bool> {
     watch::channel(true).1
--- a/node/tests/sockets/helper/mod.rs
+++ b/node/tests/sockets/helper/mod.rs
@@ -17,7 +17,7 @@
 
 pub(crate) use node::Node;
 pub(crate) use peer::{Peer, Server};
-pub(crate) use upgrade_fixture::UpgradeFixture;
+pub(crate) use upgrade_fixture::{UpgradeFixture, BANNER};
 
 pub(crate) const TEST_TIMEOUT: Duration = Duration::from_secs(60);
 
--- a/node/tests/sockets/helper/upgrade_fixture.rs
+++ b/node/tests/sockets/helper/upgrade_fixture.rs
@@ -6,6 +6,9 @@
 
 use super::{config, file, packet, unique_host, Node, Peer, Server};
 
+/// The interpreter's answer to a new link, with which it is ready.
+pub(crate) const BANNER: &str = "BANNER fresh 0\r\n";
+
 /// The addresses and the folder of a node that several processes serve one after the other.
 pub(crate) struct UpgradeFixture {
     /// The JSON-RPC frontend's address.
@@ -43,15 +46,32 @@
     /// Like [`UpgradeFixture::start`], and returns the text of the configuration as well.
     pub(crate) fn start_with_config(&self) -> (Node, Peer, String) {
         let vm = Server::new();
-        let config = config(&format!(r#""vm": "{}","#, vm.address)).replace("127.0.0.1:0", &self.json);
-        let mut node =
-            Node::spawn(&config, Some(&format!("listen = '{}'\n", self.uwsgi)), Some(&self.folder));
+        let config = self.config(&vm);
+        let mut node = self.spawn(&config);
         let link = vm.interpreter("0");
         node.wait_until_listening();
         node.uwsgi_address();
         (node, link, config)
     }
 
+    /// Starts one more process of the node, whose interpreter has accepted its link and does not answer. The node
+    /// can serve once the interpreter sends [`BANNER`] over the returned link.
+    pub(crate) fn start_with_silent_interpreter(&self) -> (Node, Peer) {
+        let vm = Server::new();
+        let node = self.spawn(&self.config(&vm));
+        let mut link = vm.accept();
+        link.read_line();
+        (node, link)
+    }
+
+    fn config(&self, vm: &Server) -> String {
+        config(&format!(r#""vm": "{}","#, vm.address)).replace("127.0.0.1:0", &self.json)
+    }
+
+    fn spawn(&self, config: &str) -> Node {
+        Node::spawn(config, Some(&format!("listen = '{}'\n", self.uwsgi)), Some(&self.folder))
+    }
+
     /// Sends a request with this idempotency key as a uwsgi client.
     pub(crate) fn uwsgi_request(&self, key: &str) -> Peer {
         let mut client = Peer::connect(self.uwsgi.parse().unwrap());
--- a/node/tests/sockets/upgrade.rs
+++ b/node/tests/sockets/upgrade.rs
@@ -110,11 +110,7 @@
 fn a_successor_stopped_before_it_can_serve_leaves_the_predecessor_serving() {
     let fixture = UpgradeFixture::new();
     let (predecessor, mut predecessor_vm) = fixture.start();
-    let vm = Server::new();
-    let text = config(&format!(r#""vm": "{}","#, vm.address)).replace("127.0.0.1:0", &fixture.json);
-    let successor = Node::spawn(&text, None, Some(&fixture.folder));
-    let mut link = vm.accept();
-    link.read_line();
+    let (successor, _successor_vm) = fixture.start_with_silent_interpreter();
     successor.terminate();
     successor.assert_clean_exit();
     let mut client = predecessor.client();
@@ -123,3 +119,97 @@
     predecessor_vm.send_run_result(1, "a1", "done", "x");
     assert!(client.read_line().contains("\"result\""));
 }
+
+/// Guards against completed bookings that run again because a predecessor drained, and its keys ended with it, while
+/// the interpreter of its successor was silent.
+#[test]
+fn a_successor_that_cannot_serve_yet_gets_the_keys_of_a_predecessor_that_drains() {
+    let fixture = UpgradeFixture::new();
+    let (mut predecessor, mut predecessor_vm) = fixture.start();
+    let mut before = predecessor.client();
+    before.request(1, "a1", Some("ended"), LONG_LIMIT_MS);
+    predecessor_vm.next_run();
+    predecessor_vm.send_run_result(1, "a1", "done", "first");
+    let first = before.read_line().replace("\"id\":1,", "");
+    let (mut successor, mut successor_vm) = fixture.start_with_silent_interpreter();
+    predecessor.wait_for_log("handover: successor stands by until it can serve");
+    // The predecessor serves on meanwhile.
+    before.request(2, "a2", Some("runs"), LONG_LIMIT_MS);
+    predecessor_vm.next_run();
+    predecessor.terminate();
+    predecessor.wait_for_log("handover: draining before the successor can serve");
+    successor.wait_for_log("handover: table received from the predecessor: keys=2");
+    predecessor_vm.send_run_result(2, "a2", "done", "second");
+    assert_eq!(before.read_any_line(), DRAINING);
+    let second = before.read_line().replace("\"id\":2,", "");
+    drop(before);
+    predecessor.assert_clean_exit();
+    successor_vm.send(BANNER);
+    successor.wait_for_log("handover: completed");
+    successor.wait_until_listening();
+    let mut client = successor.client();
+    for (id, txn, key, result) in [(1, "b1", "ended", first), (2, "b2", "runs", second)] {
+        client.request(id, txn, Some(key), LONG_LIMIT_MS);
+        assert_eq!(client.read_line().replace(&format!("\"id\":{id},"), ""), result, "{key}");
+    }
+    assert!(fixture.uwsgi_request("ended").read_to_end().ends_with("first"), "over uwsgi as well");
+    client.request(3, "b3", Some("fresh"), LONG_LIMIT_MS);
+    assert_eq!(successor_vm.next_run().0, "b3", "no key of the predecessor runs at the successor");
+}
+
+/// Guards against keys that end with a process which got them and never served.
+#[test]
+fn a_process_that_has_the_keys_and_cannot_serve_hands_them_to_a_further_process() {
+    let fixture = UpgradeFixture::new();
+    let (mut first, mut first_vm) = fixture.start();
+    let mut before = first.client();
+    before.request(1, "a1", Some("ended"), LONG_LIMIT_MS);
+    first_vm.next_run();
+    first_vm.send_run_result(1, "a1", "done", "x");
+    let result = before.read_line();
+    drop(before);
+    let (mut second, _second_vm) = fixture.start_with_silent_interpreter();
+    first.wait_for_log("handover: successor stands by until it can serve");
+    first.terminate();
+    first.assert_clean_exit();
+    second.wait_for_log("handover: table received from the predecessor: keys=1");
+    let (mut third, mut third_vm) = fixture.start();
+    third.wait_for_log("handover: completed");
+    second.terminate();
+    second.assert_clean_exit();
+    let mut client = third.client();
+    client.request(1, "c1", Some("ended"), LONG_LIMIT_MS);
+    assert_eq!(client.read_line(), result);
+    client.request(2, "c2", Some("fresh"), LONG_LIMIT_MS);
+    assert_eq!(third_vm.next_run().0, "c2");
+}
+
+/// Guards against a process that waits for its interpreter and keeps a later one, which can serve, from taking over.
+#[test]
+fn a_process_that_can_serve_takes_over_before_one_that_stands_by() {
+    let fixture = UpgradeFixture::new();
+    let (mut first, mut first_vm) = fixture.start();
+    let mut before = first.client();
+    before.request(1, "a1", Some("ended"), LONG_LIMIT_MS);
+    first_vm.next_run();
+    first_vm.send_run_result(1, "a1", "done", "x");
+    let result = before.read_line();
+    drop(before);
+    let (mut second, mut second_vm) = fixture.start_with_silent_interpreter();
+    first.wait_for_log("handover: successor stands by until it can serve");
+    let (mut third, _third_vm) = fixture.start();
+    third.wait_for_log("handover: completed");
+    first.terminate();
+    first.assert_clean_exit();
+    // The second process takes over from the third one once it can serve.
+    second_vm.send(BANNER);
+    second.wait_for_log("handover: completed");
+    second.wait_until_listening();
+    third.terminate();
+    third.assert_clean_exit();
+    let mut client = second.client();
+    client.request(1, "b1", Some("ended"), LONG_LIMIT_MS);
+    assert_eq!(client.read_line(), result);
+    client.request(2, "b2", Some("fresh"), LONG_LIMIT_MS);
+    assert_eq!(second_vm.next_run().0, "b2");
+}
