End a drain only once a successor has been written the keys that it waits for

Cause: a draining process ended once it accepted no clients and all requests were answered. A successor that takes over makes the first true at once; the table goes out 100 ms later (TRANSFER_DELAY) and was never sent. Trace at: TAKE at 1946 ms, 'server: drained' of the first process in the same millisecond.

The end of the process is decided when connections are closed and the drain is over at the same time (wait_until_drained), as a successor may come while connections are waited for.

Ruled out: sending the table without the delay. It would still wait in the queue of the link when the process ends.

--- a/node/src/dispatcher/handover_progress.rs
+++ b/node/src/dispatcher/handover_progress.rs
@@ -85,6 +85,6 @@
     }
 
     fn lacks_state(&self) -> bool {
-        self.stage == HandoverStage::Standby || self.unwritten_updates > 0
+        self.stage != HandoverStage::Transferred || self.unwritten_updates > 0
     }
 }
--- a/node/src/dispatcher/tests.rs
+++ b/node/src/dispatcher/tests.rs
@@ -281,6 +281,44 @@
     });
 }
 
+#[test]
+fn a_process_that_drains_has_drained_only_once_its_successor_has_been_sent_the_table() {
+    run_test(async {
+        let node = Node::start(false).await;
+        node.exchange.drain(clock::now() + TEST_TIMEOUT).await;
+        let mut status = node.exchange.status();
+        status.wait_for(|status| status.drained).await.unwrap();
+        let (updates, mut transferred) = mpsc::channel(8);
+        node.exchange.begin_handover(updates).await;
+        status.wait_for(|status| status.handed_over).await.unwrap();
+        assert!(!status.borrow().drained, "the table is to be sent");
+        transferred.recv().await.unwrap();
+        assert!(!status.borrow().drained, "the table is not known to have been sent");
+        node.exchange.update_written().await;
+        status.wait_for(|status| status.drained).await.unwrap();
+    });
+}
+
+#[test]
+fn a_successor_on_standby_gets_the_table_at_the_end_of_the_drain_grace() {
+    run_test(async {
+        let mut node = Node::start(false).await;
+        node.submit_and_start(1, b"key", b"body").await;
+        let (updates, mut transferred) = mpsc::channel(8);
+        node.exchange.successor_stands_by(updates).await;
+        // The process serves on until it drains.
+        node.submit_and_start(2, b"other", b"body").await;
+        assert!(transferred.try_recv().is_err());
+        node.exchange.drain(clock::now() + TEST_TIMEOUT).await;
+        assert_eq!(transferred.recv().await.unwrap().records.len(), 2);
+        let status = node.exchange.status();
+        assert!(!status.borrow().accepting, "the table comes once no more keys are taken");
+        node.complete(1, succeeded(b"result")).await;
+        let update = transferred.recv().await.unwrap();
+        assert_eq!(update.records[0].state, RunState::Succeeded(Bytes::from_static(b"result")));
+    });
+}
+
 #[test]
 fn a_cancelled_submission_gets_no_answer_and_a_second_open_attempt_with_the_same_transaction_id_fails() {
     run_test(async {
--- a/node/src/server/shutdown.rs
+++ b/node/src/server/shutdown.rs
@@ -6,7 +6,7 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 
 use crate::clock::{self, UnixTime};
-use crate::exchange::Exchange;
+use crate::exchange::{Exchange, NodeStatus};
 use crate::frontend::connection_limiter::ConnectionLimiter;
 
 /// Margin by which the process ends by itself before the platform stops it.
@@ -64,10 +64,11 @@
 
 /// Waits until no more clients are accepted, all requests are answered and every connection is closed.
 async fn all_closed(exchange: &Exchange, [jsonrpc, uwsgi]: [&ConnectionLimiter; 2]) {
-    let mut status = exchange.status();
-    let drained = status.wait_for(|status| !status.accepts_clients() && status.drained).await;
-    drop(drained);
-    tokio::join!(jsonrpc.all_closed(), uwsgi.all_closed());
+    let may_end = |status: &NodeStatus| !status.accepts_clients() && status.drained;
+    wait_until_drained(exchange, may_end, async || {
+        tokio::join!(jsonrpc.all_closed(), uwsgi.all_closed());
+    })
+    .await;
 }
 
 /// Waits until shortly before the process is stopped, and then until every response is written. The process
@@ -77,9 +78,33 @@
     stop_at: UnixTime,
     [jsonrpc, uwsgi]: [&ConnectionLimiter; 2],
 ) {
-    let mut status = exchange.status();
     clock::until(stop_at.saturating_sub(EXIT_MARGIN)).await;
-    let drained = status.wait_for(|status| status.drained).await;
-    drop(drained);
-    tokio::join!(jsonrpc.all_flushed(), uwsgi.all_flushed());
+    wait_until_drained(
+        exchange,
+        |status| status.drained,
+        async || {
+            tokio::join!(jsonrpc.all_flushed(), uwsgi.all_flushed());
+        },
+    )
+    .await;
+}
+
+/// Waits until the status is as required and `connections` completes, with both true at the same time: a request or
+/// a successor may arrive while the connections are waited for.
+async fn wait_until_drained(
+    exchange: &Exchange,
+    may_end: impl Fn(&NodeStatus) -> bool,
+    connections: impl AsyncFn(),
+) {
+    let mut status = exchange.status();
+    loop {
+        // An error can't occur in practice: the status is published for as long as the process lasts.
+        if status.wait_for(&may_end).await.is_err() {
+            return;
+        }
+        connections().await;
+        if may_end(&status.borrow()) {
+            return;
+        }
+    }
 }
--- a/node/tests/sockets/endings.rs
+++ b/node/tests/sockets/endings.rs
@@ -12,10 +12,6 @@
     (node, vm, link)
 }
 
-fn with_drain_grace(us: u64) -> impl Fn(String) -> String {
-    move |text| text.replace("\"drainGrace\": 200000", &format!("\"drainGrace\": {us}"))
-}
-
 const STATUS: &str = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"status\"}\n";
 
 #[test]
--- a/node/tests/sockets/helper/mod.rs
+++ b/node/tests/sockets/helper/mod.rs
@@ -3,6 +3,7 @@
 
 mod node;
 mod peer;
+mod store_folder;
 mod upgrade_fixture;
 
 use std::io;
@@ -17,6 +18,7 @@
 
 pub(crate) use node::Node;
 pub(crate) use peer::{Peer, Server};
+pub(crate) use store_folder::StoreFolder;
 pub(crate) use upgrade_fixture::{UpgradeFixture, BANNER};
 
 pub(crate) const TEST_TIMEOUT: Duration = Duration::from_secs(60);
@@ -86,6 +88,11 @@
     request.to_string()
 }
 
+/// Changes the text of a configuration so that the grace period of a drain lasts this many microseconds.
+pub(crate) fn with_drain_grace(us: u64) -> impl Fn(String) -> String {
+    move |text| text.replace("\"drainGrace\": 200000", &format!("\"drainGrace\": {us}"))
+}
+
 /// The text of a uwsgi file that configures only the frontend.
 pub(crate) const UWSGI: &str = "listen = '127.0.0.1:0'\n";
 
--- a/node/tests/sockets/helper/upgrade_fixture.rs
+++ b/node/tests/sockets/helper/upgrade_fixture.rs
@@ -4,7 +4,7 @@
 
 use tokio::net::TcpSocket;
 
-use super::{config, file, packet, unique_host, Node, Peer, Server};
+use super::{config, file, packet, unique_host, Node, Peer, Server, StoreFolder};
 
 /// The interpreter's answer to a new link, with which it is ready.
 pub(crate) const BANNER: &str = "BANNER fresh 0\r\n";
@@ -16,6 +16,8 @@
     uwsgi: String,
     /// The processes' `TMPDIR`.
     pub folder: PathBuf,
+    /// The text of their result store file, if they have one.
+    remembered: Option<String>,
     _reserved: [TcpSocket; 2],
 }
 
@@ -34,7 +36,12 @@
         let [json, uwsgi] = reserved.each_ref().map(|socket| socket.local_addr().unwrap().to_string());
         let folder = file("folder", "").with_extension("d");
         std::fs::create_dir(&folder).unwrap();
-        UpgradeFixture { json, uwsgi, folder, _reserved: reserved }
+        UpgradeFixture { json, uwsgi, folder, remembered: None, _reserved: reserved }
+    }
+
+    /// A node with this result store.
+    pub(crate) fn with_store(store: &StoreFolder) -> UpgradeFixture {
+        UpgradeFixture { remembered: Some(store.text.clone()), ..UpgradeFixture::new() }
     }
 
     /// Starts one more process of the node, with an interpreter of its own whose link is up.
@@ -45,8 +52,13 @@
 
     /// Like [`UpgradeFixture::start`], and returns the text of the configuration as well.
     pub(crate) fn start_with_config(&self) -> (Node, Peer, String) {
+        self.start_with(|config| config)
+    }
+
+    /// Like [`UpgradeFixture::start_with_config`], with a changed configuration.
+    pub(crate) fn start_with(&self, change: impl Fn(String) -> String) -> (Node, Peer, String) {
         let vm = Server::new();
-        let config = self.config(&vm);
+        let config = change(self.config(&vm));
         let mut node = self.spawn(&config);
         let link = vm.interpreter("0");
         node.wait_until_listening();
@@ -69,7 +81,8 @@
     }
 
     fn spawn(&self, config: &str) -> Node {
-        Node::spawn(config, Some(&format!("listen = '{}'\n", self.uwsgi)), Some(&self.folder))
+        let uwsgi = format!("listen = '{}'\n", self.uwsgi);
+        Node::spawn_with(config, Some(&uwsgi), Some(&self.folder), self.remembered.as_deref())
     }
 
     /// Sends a request with this idempotency key as a uwsgi client.
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -16,6 +16,7 @@
 mod reload;
 mod result_store;
 mod upgrade;
+mod upgrade_store;
 mod uwsgi;
 mod vrrp;
 mod windows;
--- a/node/tests/sockets/result_store.rs
+++ b/node/tests/sockets/result_store.rs
@@ -4,41 +4,10 @@
 use base64::engine::general_purpose::STANDARD as BASE64;
 use base64::Engine;
 use std::collections::HashMap;
-use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::{Arc, Mutex};
 
-/// The folder of a result store for one test, and the result store file that names it.
-struct StoreFolder {
-    folder: PathBuf,
-    /// The text of the result store file.
-    text: String,
-}
-
-impl StoreFolder {
-    fn new(options: &str) -> StoreFolder {
-        let folder = file("result-store", "").with_extension("d");
-        std::fs::create_dir(&folder).unwrap();
-        let text = format!("folder = '{}'\n{options}", folder.display());
-        StoreFolder { folder, text }
-    }
-
-    /// Starts a process of the node with a stand-in interpreter whose link is up.
-    fn start(&self) -> (Node, Peer) {
-        let vm = Server::new();
-        let node = self.spawn(&vm, None);
-        (node, vm.interpreter("0"))
-    }
-
-    fn spawn(&self, vm: &Server, folder: Option<&Path>) -> Node {
-        let config = config(&format!(r#""ops": "127.0.0.1:0", "vm": "{}","#, vm.address));
-        let mut node = Node::spawn_with(&config, Some(UWSGI), folder, Some(&self.text));
-        node.wait_until_listening();
-        node
-    }
-}
-
 /// Sends a keyed request over uwsgi.
 fn send_keyed_uwsgi_request(node: &mut Node, key: &str) -> Peer {
     let mut client = Peer::connect(node.uwsgi_address());
@@ -255,48 +224,6 @@
     assert_eq!(start("folder = 'here'").lines().count(), 1);
 }
 
-#[test]
-fn an_upgrade_hands_over_the_folder_and_keys_of_both_processes_survive_a_crash() {
-    let (folder, fixture) = (StoreFolder::new(""), UpgradeFixture::new());
-    let start = || {
-        let vm = Server::new();
-        let config = config(&format!(r#""vm": "{}","#, vm.address)).replace("127.0.0.1:0", &fixture.json);
-        let mut node = Node::spawn_with(&config, None, Some(&fixture.folder), Some(&folder.text));
-        let link = vm.interpreter("0");
-        node.wait_until_listening();
-        (node, link)
-    };
-    let (predecessor, mut predecessor_vm) = start();
-    let mut before = predecessor.client();
-    for (id, txn, key) in [(1, "a1", "first"), (2, "a2", "second")] {
-        before.request(id, txn, Some(key), LONG_LIMIT_MS);
-        predecessor_vm.next_run();
-    }
-    predecessor_vm.send_run_result(1, "a1", "done", "1");
-    let first = before.read_line().replace("\"id\":1,", "");
-    let (mut successor, mut successor_vm) = start();
-    successor.wait_for_log("handover: completed");
-    let mut client = successor.client();
-    client.request(1, "b1", Some("third"), LONG_LIMIT_MS);
-    assert_eq!(successor_vm.next_run().0, "b1");
-    successor_vm.send_run_result(1, "b1", "done", "3");
-    let third = client.read_line().replace("\"id\":1,", "");
-    client.request(2, "b2", Some("second"), LONG_LIMIT_MS);
-    predecessor_vm.send_run_result(2, "a2", "done", "2");
-    let second = client.read_line().replace("\"id\":2,", "");
-    assert!(second.contains("result") && third.contains("result"));
-    drop(predecessor);
-    drop(successor);
-    let (after, _vm) = start();
-    let mut client = after.client();
-    for (id, txn, key, result) in
-        [(1, "c1", "first", first), (2, "c2", "second", second), (3, "c3", "third", third)]
-    {
-        client.request(id, txn, Some(key), LONG_LIMIT_MS);
-        assert_eq!(client.read_line().replace(&format!("\"id\":{id},"), ""), result, "{key}");
-    }
-}
-
 #[test]
 fn with_a_full_folder_keyed_requests_are_rejected_before_they_run_with_a_retry_time() {
     let (folder, vm, runs) = (StoreFolder::new("file_mb = 4\n"), Server::new(), RunCounts::default());
--- a/node/tests/sockets/upgrade.rs
+++ b/node/tests/sockets/upgrade.rs
@@ -213,3 +213,28 @@
     client.request(2, "b2", Some("fresh"), LONG_LIMIT_MS);
     assert_eq!(second_vm.next_run().0, "b2");
 }
+
+/// Guards against completed bookings that run again because a process that drained ended as soon as a successor took over
+/// its clients, before it had sent its keys.
+#[test]
+fn a_process_that_drains_ends_only_once_its_successor_has_the_keys() {
+    let fixture = UpgradeFixture::new();
+    let (mut predecessor, mut predecessor_vm, _) = fixture.start_with(with_drain_grace(30_000_000));
+    let mut before = predecessor.client();
+    before.request(1, "a1", Some("ended"), LONG_LIMIT_MS);
+    predecessor_vm.next_run();
+    predecessor_vm.send_run_result(1, "a1", "done", "x");
+    let result = before.read_line();
+    drop(before);
+    predecessor.terminate();
+    // Nothing is left to be answered, and the process only waits for the end of the grace period.
+    predecessor.wait_for_log("dispatcher: health changed: healthy=false");
+    let (mut successor, mut successor_vm) = fixture.start();
+    successor.wait_for_log("handover: table received from the predecessor: keys=1");
+    predecessor.assert_clean_exit();
+    let mut client = successor.client();
+    client.request(1, "b1", Some("ended"), LONG_LIMIT_MS);
+    assert_eq!(client.read_line(), result);
+    client.request(2, "b2", Some("fresh"), LONG_LIMIT_MS);
+    assert_eq!(successor_vm.next_run().0, "b2");
+}
