Read the result store in place of a table that never came from the predecessor

Cause: the successor starts with a closed store, as the predecessor holds its lock, and opened it only when the table came. predecessor_done took 'no table' for 'no keys' and submitted buffered attempts as new; a closed store grants each run (RunGate::write).

Change: if the predecessor has ended without its table and a store is configured, the store is opened, attempts with keys are buffered until the recovered keys are in the table, and the process is not ready before that. HandoverProgress names where keys are still to come from. A store that can't be opened is an event (StoreEvent::OpenFailed), after which every keyed run is denied.

Ruled out: opening the store at the start of the successor; its folder is locked by the process that serves, and must be.

The folder of unit tests moved to test_support, unchanged.

--- a/node/src/dispatcher.rs
+++ b/node/src/dispatcher.rs
@@ -41,6 +41,7 @@
 };
 use crate::log;
 use crate::outcome::RequestOutcome;
+use crate::result_store::KeySource;
 use crate::run_gate::RunGate;
 use attempts::{Attempt, AttemptTable, Phase, TIMEOUT_MARGIN};
 use handover_progress::HandoverProgress;
@@ -96,6 +97,7 @@
         seed: u64,
         max_result_bytes: usize,
     ) -> Self {
+        let awaits_predecessor = endpoints.status.borrow().awaiting_state;
         Dispatcher {
             endpoints,
             settings,
@@ -108,7 +110,7 @@
             attempts: AttemptTable::default(),
             idempotency: IdempotencyTable::new(max_result_bytes),
             timers: Timers::default(),
-            handover: HandoverProgress::default(),
+            handover: HandoverProgress::new(awaits_predecessor.then_some(KeySource::Predecessor)),
             run_gate: RunGate::default(),
             decision_log: None,
             jitter_sequence: Cell::new(0),
@@ -125,8 +127,7 @@
             self.idempotency = std::mem::take(&mut self.idempotency).into_durable();
         }
         if let Some(recovered) = recovered {
-            self.idempotency.set_digest_seed(recovered.digest_seed);
-            self.import_recovered(recovered.records);
+            self.import_recovered(recovered);
         }
     }
 
--- a/node/src/dispatcher/handover.rs
+++ b/node/src/dispatcher/handover.rs
@@ -128,7 +128,7 @@
 impl Dispatcher {
     /// Imports the predecessor's records: its whole table first, then the outcomes of its runs as they end.
     pub(super) fn receive_state(&mut self, state: HandoverState) {
-        let is_full_table = self.status().awaiting_state;
+        let is_full_table = self.handover.awaiting_keys_from == Some(KeySource::Predecessor);
         if is_full_table {
             self.idempotency.set_digest_seed(state.digest_seed);
             log!("handover: table received from the predecessor: keys={}", state.records.len());
@@ -197,22 +197,43 @@
         self.idempotency.import(record, id)
     }
 
-    /// Imports the records that the stores kept from earlier processes. Runs without an outcome count as
+    /// Imports the state that the stores kept from earlier processes. Runs without an outcome count as
     /// failed. Attempts that waited for an outcome in these records are not completed here.
-    pub(super) fn import_recovered(&mut self, records: Vec<IdempotencyRecord>) {
-        for record in records {
+    pub(super) fn import_recovered(&mut self, recovered: HandoverState) {
+        // Keys that are in the table already have digests by the seed of the process that sent them, which is the
+        // store's too.
+        if self.idempotency.is_empty() {
+            self.idempotency.set_digest_seed(recovered.digest_seed);
+        }
+        for record in recovered.records {
             self.insert_record(record);
         }
         self.import_pending_records();
         self.fail_unfinished_earlier_runs();
     }
 
-    /// Handles the end of the handover: the predecessor sends no more records.
+    /// Imports the state of the store after another process of this node has ended without transferring its keys.
+    pub(super) fn store_recovered(&mut self, recovered: HandoverState) {
+        self.import_recovered(recovered);
+        if self.handover.awaiting_keys_from == Some(KeySource::Store) {
+            self.submit_buffered();
+        }
+    }
+
+    /// Handles the end of the handover: the predecessor sends no more records. If its table never came, its keys
+    /// are read from the result store.
     pub(super) fn predecessor_done(&mut self) {
-        self.import_pending_records();
-        self.fail_unfinished_earlier_runs();
-        self.submit_buffered();
-        self.run_gate.predecessor_ended();
+        let table_missing = self.handover.awaiting_keys_from == Some(KeySource::Predecessor);
+        if table_missing && self.run_gate.has_store() {
+            log!("handover: no table came from the predecessor, its keys are read from the result store");
+            self.handover.awaiting_keys_from = Some(KeySource::Store);
+            self.run_gate.acquire_stores(KeySource::Store);
+        } else {
+            self.import_pending_records();
+            self.fail_unfinished_earlier_runs();
+            self.submit_buffered();
+            self.run_gate.predecessor_ended();
+        }
         self.update_status(|status| status.predecessor_alive = false);
     }
 
@@ -231,21 +252,22 @@
         self.complete_waiters(waiters, &StoredOutcome::Failed);
     }
 
-    /// Buffers an attempt with a key until the predecessor's table has been received.
+    /// Buffers an attempt with a key until the keys of the other process are known.
     pub(super) fn buffer_until_state_received(&mut self, submission: Submission) {
         self.handover.buffered.push(submission);
     }
 
-    /// Ends the wait for the predecessor's table and defers the buffered attempts to the next batch, which
+    /// Ends the wait for the keys of the other process and defers the buffered attempts to the next batch, which
     /// submits them.
-    fn submit_buffered(&mut self) {
+    pub(super) fn submit_buffered(&mut self) {
+        self.handover.awaiting_keys_from = None;
         self.update_status(|status| status.awaiting_state = false);
         let buffered = std::mem::take(&mut self.handover.buffered);
         self.deferred.extend(buffered.into_iter().map(DispatcherEvent::Submitted));
     }
 
     /// Rejects buffered attempts whose deadline is near, or all of them while this process drains, so that they are
-    /// answered in time even if the predecessor never transfers its table.
+    /// answered in time even if the keys of the other process never come.
     pub(super) fn reject_expired_buffered(&mut self, now: UnixTime) {
         let is_draining = self.status().draining.is_some();
         let has_expired =
--- a/node/src/dispatcher/handover_progress.rs
+++ b/node/src/dispatcher/handover_progress.rs
@@ -9,15 +9,17 @@
 use crate::clock::UnixTime;
 use crate::exchange::{HandoverState, Submission};
 use crate::outcome::IdempotencyRecord;
+use crate::result_store::KeySource;
 
 /// State of a handover, either from the predecessor or to the successor.
-#[derive(Default)]
 pub(super) struct HandoverProgress {
     /// The process that takes over from this one; `None` if no such process runs.
     pub(super) successor: Option<Successor>,
     /// Whether the stores of keys and results have been released to the successor.
     pub(super) stores_released: bool,
-    /// Attempts with keys that arrived before the predecessor's table. Their number is bounded by the number
+    /// Where the keys of another process of this node are still to come from; `None` once they are known here.
+    pub(super) awaiting_keys_from: Option<KeySource>,
+    /// Attempts with keys that arrived before the keys of the other process. Their number is bounded by the number
     /// of requests that clients may have open on their connections.
     pub(super) buffered: Vec<Submission>,
     /// The predecessor's records whose outcomes are being stored, indexed by the id that holds the record's
@@ -26,6 +28,17 @@
 }
 
 impl HandoverProgress {
+    /// The state of a process that has just started, whose keys come from here.
+    pub(super) fn new(awaiting_keys_from: Option<KeySource>) -> Self {
+        HandoverProgress {
+            successor: None,
+            stores_released: false,
+            awaiting_keys_from,
+            buffered: Vec::new(),
+            storing: HashMap::new(),
+        }
+    }
+
     /// Time of the next step: transferring the table or rejecting the buffered attempt with the nearest deadline.
     /// `standby_transfer_at` is when a successor on standby gets the table.
     pub(super) fn next_wake(&self, standby_transfer_at: Option<UnixTime>) -> Option<UnixTime> {
--- a/node/src/dispatcher/idempotency.rs
+++ b/node/src/dispatcher/idempotency.rs
@@ -241,6 +241,10 @@
         self.entries.get(key).map(|entry| entry.holder)
     }
 
+    pub(crate) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
     /// Whether the table has an entry for this key.
     pub(crate) fn contains(&self, key: &IdempotencyKey) -> bool {
         self.entries.contains_key(key)
--- a/node/src/dispatcher/runs.rs
+++ b/node/src/dispatcher/runs.rs
@@ -189,7 +189,8 @@
             GateEvent::RemoteOutcome { id, outcome } => self.complete_remote_run(id, &outcome),
             GateEvent::OutcomeUnknown(id) => self.abandon_key(id, RequestOutcome::Failed { timed_out: true }),
             GateEvent::BodyMismatch(id) => self.abandon_key(id, RequestOutcome::BodyMismatch),
-            GateEvent::Recovered(records) => self.import_recovered(records),
+            GateEvent::Recovered(state) => self.store_recovered(state),
+            GateEvent::StoreUnavailable => self.submit_buffered(),
         }
     }
 
--- a/node/src/dispatcher/tests.rs
+++ b/node/src/dispatcher/tests.rs
@@ -1,3 +1,5 @@
+mod stores;
+
 use std::future::Future;
 use std::rc::Rc;
 
@@ -40,10 +42,21 @@
     }
 
     fn start_without_backend(awaiting_state: bool) -> Node {
+        Node::start_with_run_gate(awaiting_state, RunGate::default(), None)
+    }
+
+    /// Starts a dispatcher without a backend, with this run gate and what was recovered from its stores.
+    fn start_with_run_gate(
+        awaiting_state: bool,
+        run_gate: RunGate,
+        recovered: Option<HandoverState>,
+    ) -> Node {
         let Endpoints { exchange, dispatcher, backend } =
             exchange::new(StartMode { awaiting_state, recovering: false });
         let settings = oakwind_settings::parse(SETTINGS).unwrap();
-        spawn_local(Dispatcher::new(dispatcher, settings, 1, 1 << 20).run());
+        let mut dispatcher = Dispatcher::new(dispatcher, settings, 1, 1 << 20);
+        dispatcher.set_run_gate(run_gate, recovered);
+        spawn_local(dispatcher.run());
         let (answer_queue, answers) = mpsc::channel(16);
         Node { exchange, backend, answer_queue, answers }
     }
--- /dev/null
+++ b/node/src/dispatcher/tests/stores.rs
@@ -0,0 +1,70 @@
+//! Tests of a dispatcher with a result store that another process of the node had open.
+
+use oakwind_admission::RequestId;
+
+use super::*;
+use crate::config::ResultStoreConfig;
+use crate::result_store::record::{Record, RecordState};
+use crate::result_store::ResultStore;
+use crate::test_support::TestFolder;
+
+fn closed_store(folder: &TestFolder) -> ResultStore {
+    let config = ResultStoreConfig { folder: folder.0.clone(), max_bytes: 64 << 20, max_batch: 16 };
+    ResultStore::closed(config, TEST_TIMEOUT)
+}
+
+/// Opens the store as another process of the node, stores that the key `known` ran with the result `result`, and
+/// closes it.
+async fn store_result_of_another_process(folder: &TestFolder) {
+    let mut store = closed_store(folder);
+    let seed = store.open().unwrap().seed;
+    let body_digest = BodyDigest(digest(seed, b"body"));
+    let expires_at = clock::now() + TEST_TIMEOUT;
+    let (key, result) = (Bytes::from_static(b"known"), Bytes::from_static(b"result"));
+    let record = Record::new(key, body_digest, expires_at, RecordState::Succeeded, result);
+    assert!(store.writer.as_ref().unwrap().write(RequestId(1), record));
+    store.next_event().await;
+}
+
+/// Guards against keyed attempts that run while the store that may know their keys is being read.
+#[test]
+fn a_successor_that_got_no_table_buffers_keyed_attempts_until_the_store_is_recovered() {
+    run_test(async {
+        let folder = TestFolder::new();
+        store_result_of_another_process(&folder).await;
+        let run_gate = RunGate::new(Some(closed_store(&folder)), None);
+        let mut node = Node::start_with_run_gate(true, run_gate, None);
+        node.exchange.report(BackendEvent::Up { cold: false }).await;
+        node.submit(1, b"known", b"body").await;
+        node.exchange.predecessor_done().await;
+        node.submit(2, b"known", b"body").await;
+        node.submit(3, b"known", b"another body").await;
+        let mut status = node.exchange.status();
+        status.wait_for(|status| !status.predecessor_alive).await.unwrap();
+        assert!(status.borrow().awaiting_state && !status.borrow().is_serving());
+        let mut answers = [node.next_answer().await, node.next_answer().await, node.next_answer().await];
+        answers.sort_by_key(|(tag, _)| *tag);
+        assert_eq!(
+            answers,
+            [(1, served(b"result")), (2, served(b"result")), (3, RequestOutcome::BodyMismatch)]
+        );
+        assert!(node.has_no_run_command());
+        node.submit_and_start(4, b"new", b"body").await;
+    });
+}
+
+/// Guards against keyed attempts that run, and are not stored, because the store can't be opened.
+#[test]
+fn a_successor_that_got_no_table_and_cannot_open_the_store_runs_no_key() {
+    run_test(async {
+        let folder = TestFolder::new();
+        let run_gate = RunGate::new(Some(closed_store(&folder)), None);
+        std::fs::remove_dir_all(&folder.0).unwrap();
+        let mut node = Node::start_with_run_gate(true, run_gate, None);
+        node.exchange.report(BackendEvent::Up { cold: false }).await;
+        node.submit(1, b"new", b"body").await;
+        node.exchange.predecessor_done().await;
+        assert!(matches!(node.next_answer().await, (1, RequestOutcome::Rejected { .. })));
+        assert!(node.has_no_run_command());
+    });
+}
--- a/node/src/exchange/status.rs
+++ b/node/src/exchange/status.rs
@@ -30,7 +30,8 @@
     pub(crate) draining: Option<ShutdownNotice>,
     /// Whether a successor process serves new clients. This one still answers the requests that it has read.
     pub(crate) handed_over: bool,
-    /// Whether the predecessor's state has not been received yet.
+    /// Whether keys that another process of this node has run are still to be received, or recovered from the
+    /// result store.
     pub(crate) awaiting_state: bool,
     /// Whether the predecessor process may still be running.
     pub(crate) predecessor_alive: bool,
--- a/node/src/peers/driver.rs
+++ b/node/src/peers/driver.rs
@@ -276,7 +276,7 @@
         StoreEvent::Written { request, durable } => {
             Some(Event::StoreFinished { sequence: u64::from(request.0), stored: *durable })
         }
-        StoreEvent::Opened(_) => None,
+        StoreEvent::Opened(_) | StoreEvent::OpenFailed => None,
     }
 }
 
--- a/node/src/result_store.rs
+++ b/node/src/result_store.rs
@@ -56,12 +56,12 @@
     Thread(#[source] io::Error),
 }
 
-/// Source from which a process learns the keys of its predecessor in an upgrade in place.
+/// Source from which a process learns the keys of another process of its node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum KeySource {
     /// The predecessor transfers them in the handover.
     Predecessor,
-    /// They are read from the store once the predecessor has closed it.
+    /// They are read from the store once the other process has closed it.
     Store,
 }
 
@@ -109,18 +109,24 @@
     }
 
     /// Opens the folder in the background once the predecessor has closed it, and then sends
-    /// [`StoreEvent::Opened`]. If that fails, the process continues without storing anything.
+    /// [`StoreEvent::Opened`]. If that fails, it sends [`StoreEvent::OpenFailed`], and every record counts as not
+    /// durable.
     pub(crate) fn open_after_predecessor(&mut self, key_source: KeySource) {
         self.key_source = key_source;
         let config = self.config.clone();
         let max_window = self.max_window;
         let metrics = self.metrics.clone();
         let opened = self.start_writer(move |events| {
-            let OpenedLog { log, recovered } = open_with_retries(&config, max_window)?;
-            report_recovery(&recovered, &metrics);
+            let (event, log) = match open_with_retries(&config, max_window) {
+                Some(OpenedLog { log, recovered }) => {
+                    report_recovery(&recovered, &metrics);
+                    (StoreEvent::Opened(recovered), Some(log))
+                }
+                None => (StoreEvent::OpenFailed, None),
+            };
             // The receiver is dropped only when the process ends; the event has no use then.
-            let _ = events.blocking_send(StoreEvent::Opened(recovered));
-            Some(log)
+            let _ = events.blocking_send(event);
+            log
         });
         if let Err(error) = opened.map_err(StoreError::Thread) {
             log!("result store: open failed, keys and results are not stored: error={error}");
--- a/node/src/result_store/segment_log/tests.rs
+++ b/node/src/result_store/segment_log/tests.rs
@@ -2,27 +2,16 @@
 use crate::outcome::BodyDigest;
 use crate::outcome::RunState;
 use crate::result_store::recovery::Damage;
+use crate::test_support::TestFolder;
 use std::cell::Cell;
 use std::collections::HashMap;
 use std::io::Write;
 use std::rc::Rc;
-use std::sync::atomic::{AtomicU32, Ordering};
 
 const LIMITS: Limits = Limits { max_bytes: 4 << 20 };
 const MAX_WINDOW: Duration = Duration::from_secs(17);
 
-/// A folder for one test, removed after it.
-struct TestFolder(PathBuf);
-
 impl TestFolder {
-    fn new() -> TestFolder {
-        static NEXT: AtomicU32 = AtomicU32::new(0);
-        let number = NEXT.fetch_add(1, Ordering::Relaxed);
-        let path = std::env::temp_dir().join(format!("oakwind-{}-{number}", std::process::id()));
-        std::fs::create_dir(&path).unwrap();
-        TestFolder(path)
-    }
-
     fn open<D: Disk>(&self, disk: D, now: UnixTime) -> OpenedLog<D> {
         SegmentLog::open(&self.0, disk, LIMITS, MAX_WINDOW, now).unwrap()
     }
@@ -32,12 +21,6 @@
     }
 }
 
-impl Drop for TestFolder {
-    fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.0);
-    }
-}
-
 /// Disk with injected failures. The last of the `remaining` operations, if it is a write, writes only
 /// `partial_bytes` bytes and fails; all operations after it fail. A test may raise `remaining` again to end
 /// the failure.
--- a/node/src/result_store/writer.rs
+++ b/node/src/result_store/writer.rs
@@ -32,6 +32,8 @@
     },
     /// The folder was opened after the predecessor closed it; this is its recovered state.
     Opened(RecoveredState),
+    /// The folder could not be opened after the predecessor closed it.
+    OpenFailed,
 }
 
 /// Record to be written for a request.
--- a/node/src/run_gate.rs
+++ b/node/src/run_gate.rs
@@ -16,6 +16,7 @@
 use oakwind_fleet::replication::key_state::RunResult;
 
 use crate::clock::UnixTime;
+use crate::exchange::HandoverState;
 use crate::metrics::Metrics;
 use crate::outcome::{Completion, StoredOutcome};
 use crate::peers::{ClaimParameters, ClaimResponse, Peers};
@@ -57,6 +58,11 @@
         self.store.is_some() || self.peers.is_some()
     }
 
+    /// Whether a result store is configured, from which the keys of earlier processes can be recovered.
+    pub(crate) fn has_store(&self) -> bool {
+        self.store.is_some()
+    }
+
     /// Returns the version of the membership configuration; 0 without peers.
     pub(crate) fn membership_version(&self) -> ConfigVersion {
         self.peers.as_ref().map(|peers| peers.metrics.membership_version.get()).unwrap_or_default()
@@ -263,9 +269,11 @@
             StoreEvent::Opened(recovered) => {
                 let store = self.store.as_mut()?;
                 store.uncertain_keys = recovered.uncertain_keys;
+                let state = HandoverState { digest_seed: recovered.seed, records: recovered.keys };
                 // With `KeySource::Predecessor` the predecessor has transferred these keys, and newer ones as well.
-                (store.key_source == KeySource::Store).then_some(GateEvent::Recovered(recovered.keys))
+                (store.key_source == KeySource::Store).then_some(GateEvent::Recovered(state))
             }
+            StoreEvent::OpenFailed => Some(GateEvent::StoreUnavailable),
         }
     }
 
--- a/node/src/run_gate/event.rs
+++ b/node/src/run_gate/event.rs
@@ -2,7 +2,8 @@
 
 use oakwind_admission::RequestId;
 
-use crate::outcome::{Completion, IdempotencyRecord, StoredOutcome};
+use crate::exchange::HandoverState;
+use crate::outcome::{Completion, StoredOutcome};
 
 /// Whether a run may start.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -46,6 +47,8 @@
         /// How the run ended; failed if its end could not be stored.
         completion: Completion,
     },
-    /// The records that the store kept from earlier processes.
-    Recovered(Vec<IdempotencyRecord>),
+    /// The state that the store kept from earlier processes.
+    Recovered(HandoverState),
+    /// The store could not be opened. No run with a key starts.
+    StoreUnavailable,
 }
