Buffer keyed attempts until the keys of a lost successor are read from the store

What callers would see: after a failed upgrade of a node with a result store, a booking that the lost successor ran runs again if it is repeated in the first milliseconds in which the predecessor serves again.

Cause: successor_lost opened the store in the background and went on at once. An attempt decided on before the recovered keys came held its key by then, and IdempotencyTable::import ignores records of a key that an attempt of this process holds. A second successor that took over meanwhile got a table without these keys.

Change: taking the store back buffers attempts with keys until the recovered keys are in the table, and no table is transferred before that.

Ruled out: importing the outcome over the attempt that holds the key; its run may have been sent to the backend by then.

Evidence: dispatcher::tests::stores::a_process_that_lost_its_successor_... timed out before the change, as the key ran again, and passes with it; a_table_is_transferred_only_once_... passes. cargo test: 117 unit tests and the 21 socket tests of upgrades and stores passed.

--- a/node/src/dispatcher/handover.rs
+++ b/node/src/dispatcher/handover.rs
@@ -64,7 +64,7 @@
     pub(super) fn successor_lost(&mut self) {
         self.handover.successor = None;
         if std::mem::take(&mut self.handover.stores_released) {
-            self.run_gate.acquire_stores(KeySource::Store);
+            self.acquire_stores_and_keys();
         }
         self.update_status(|status| {
             // A draining process still directs its clients to other nodes.
@@ -82,11 +82,11 @@
 
     /// Transfers the idempotency table to the successor when that is due.
     pub(super) fn transfer_state(&mut self, now: UnixTime) {
-        let standby_transfer_at = self.standby_transfer_at();
-        let Some(successor) = &mut self.handover.successor else { return };
-        if successor.transfer_at(standby_transfer_at).is_none_or(|at| now < at) {
+        let transfer_at = self.handover.transfer_at(self.standby_transfer_at());
+        if transfer_at.is_none_or(|at| now < at) {
             return;
         }
+        let Some(successor) = &mut self.handover.successor else { return };
         successor.stage = HandoverStage::Transferred;
         self.release_stores();
         self.send_to_successor(self.idempotency.snapshot());
@@ -212,6 +212,16 @@
         self.fail_unfinished_earlier_runs();
     }
 
+    /// Acquires the stores after another process of this node has ended without transferring its keys. Attempts with
+    /// keys are buffered until the keys in the result store, if there is one, have been recovered.
+    fn acquire_stores_and_keys(&mut self) {
+        self.run_gate.acquire_stores(KeySource::Store);
+        if self.run_gate.has_store() {
+            self.handover.awaiting_keys_from = Some(KeySource::Store);
+            self.update_status(|status| status.awaiting_state = true);
+        }
+    }
+
     /// Imports the state of the store after another process of this node has ended without transferring its keys.
     pub(super) fn store_recovered(&mut self, recovered: HandoverState) {
         self.import_recovered(recovered);
@@ -226,8 +236,7 @@
         let table_missing = self.handover.awaiting_keys_from == Some(KeySource::Predecessor);
         if table_missing && self.run_gate.has_store() {
             log!("handover: no table came from the predecessor, its keys are read from the result store");
-            self.handover.awaiting_keys_from = Some(KeySource::Store);
-            self.run_gate.acquire_stores(KeySource::Store);
+            self.acquire_stores_and_keys();
         } else {
             self.import_pending_records();
             self.fail_unfinished_earlier_runs();
--- a/node/src/dispatcher/handover_progress.rs
+++ b/node/src/dispatcher/handover_progress.rs
@@ -42,13 +42,19 @@
     /// Time of the next step: transferring the table or rejecting the buffered attempt with the nearest deadline.
     /// `standby_transfer_at` is when a successor on standby gets the table.
     pub(super) fn next_wake(&self, standby_transfer_at: Option<UnixTime>) -> Option<UnixTime> {
-        let successor = self.successor.as_ref();
-        let transfer_at = successor.and_then(|successor| successor.transfer_at(standby_transfer_at));
+        let transfer_at = self.transfer_at(standby_transfer_at);
         let deadlines = self.buffered.iter().map(|submission| submission.request.deadline);
         let reject_at = deadlines.map(|deadline| deadline.saturating_sub(TIMEOUT_MARGIN)).min();
         transfer_at.into_iter().chain(reject_at).min()
     }
 
+    /// When the table is to be transferred to the successor; `None` if there is nothing to transfer, no time is set
+    /// yet, or the table is not complete.
+    pub(super) fn transfer_at(&self, standby_transfer_at: Option<UnixTime>) -> Option<UnixTime> {
+        let successor = self.successor.as_ref().filter(|_| self.awaiting_keys_from.is_none())?;
+        successor.transfer_at(standby_transfer_at)
+    }
+
     /// Whether a successor is still to get state that only this process has.
     pub(super) fn owes_state(&self) -> bool {
         self.successor.as_ref().is_some_and(Successor::lacks_state)
@@ -89,7 +95,7 @@
     }
 
     /// When the table is to be transferred; `None` if it has been, or no time is set yet.
-    pub(super) fn transfer_at(&self, standby_transfer_at: Option<UnixTime>) -> Option<UnixTime> {
+    fn transfer_at(&self, standby_transfer_at: Option<UnixTime>) -> Option<UnixTime> {
         match self.stage {
             HandoverStage::Standby => standby_transfer_at,
             HandoverStage::TakingOver { transfer_at } => Some(transfer_at),
