Fail keyed requests whose keys may be lost with a killed predecessor

What callers would see: without a result store, bookings that ran at a predecessor that was killed before it sent its keys run again at the successor.

Change: a successor without a store whose predecessor ended without its table fails attempts with unknown keys until the longest window, and a second for callers' clocks, is over. The longest window is computed in the settings package, where the dispatcher can use it too.

Ruled out: rejecting these attempts. A rejection says that the request has not run. A process that finds no predecessor at its start is not affected.

--- a/node/src/config/fleet.rs
+++ b/node/src/config/fleet.rs
@@ -147,7 +147,7 @@
 impl FleetConfig {
     /// Checks the limits that depend on the platform's configuration.
     pub(super) fn check_against(&self, node: &NodeConfig) -> Result<(), ConfigError> {
-        let window = node.max_idempotency_window();
+        let window = node.settings.max_idempotency_window();
         if self.membership.window() < window {
             let problem =
                 format!("{} at least, as the settings remember keys for that long", window.as_millis());
--- a/node/src/config/node.rs
+++ b/node/src/config/node.rs
@@ -19,8 +19,6 @@
 const MIN_DESCRIPTORS: usize = 32;
 const DEFAULT_DESCRIPTORS: usize = 1024;
 const DEFAULT_MEMORY_MB: usize = 192;
-/// Time for which keys are remembered beyond the window in the settings, as the clocks of callers differ.
-const WINDOW_MARGIN: Duration = Duration::from_secs(1);
 
 /// The platform's configuration.
 #[derive(Debug)]
@@ -117,14 +115,6 @@
         })
     }
 
-    /// The longest time for which any idempotency key is remembered, including a margin.
-    pub(crate) fn max_idempotency_window(&self) -> Duration {
-        let classes = self.settings.settings.classes.iter();
-        let longest =
-            classes.map(|class| class.idempotency_window.max(class.deadline)).max().unwrap_or_default();
-        longest + WINDOW_MARGIN
-    }
-
     /// The first key of the configuration `before` that this one lacks. A running node does not apply such a
     /// file: it may be incomplete, and its missing keys would take their defaults. In a list, only keys that
     /// every member had are required.
--- a/node/src/dispatcher.rs
+++ b/node/src/dispatcher.rs
@@ -205,6 +205,7 @@
             self.observed_clock_steps = total;
             log!("dispatcher: clock stepped ahead: step_ms={}", step.as_millis());
             self.idempotency.postpone_expiry(step);
+            self.handover.postpone_expiry(step);
         }
     }
 
--- a/node/src/dispatcher/handover.rs
+++ b/node/src/dispatcher/handover.rs
@@ -231,13 +231,16 @@
     }
 
     /// Handles the end of the handover: the predecessor sends no more records. If its table never came, its keys
-    /// are read from the result store.
+    /// are read from the result store. Without a store they are lost.
     pub(super) fn predecessor_done(&mut self) {
         let table_missing = self.handover.awaiting_keys_from == Some(KeySource::Predecessor);
         if table_missing && self.run_gate.has_store() {
             log!("handover: no table came from the predecessor, its keys are read from the result store");
             self.acquire_stores_and_keys();
         } else {
+            if table_missing && !self.run_gate.is_durable() {
+                self.register_lost_keys();
+            }
             self.import_pending_records();
             self.fail_unfinished_earlier_runs();
             self.submit_buffered();
@@ -246,6 +249,17 @@
         self.update_status(|status| status.predecessor_alive = false);
     }
 
+    /// Registers that the predecessor has ended with its keys. Until all of them have expired, attempts with keys that
+    /// are not in the table fail, as any of them may have run.
+    fn register_lost_keys(&mut self) {
+        let window = self.settings.max_idempotency_window();
+        log!(
+            "handover: keys were lost with the predecessor, keyed requests fail until they have expired: window_ms={}",
+            window.as_millis()
+        );
+        self.handover.lost_keys_expire_at = clock::now() + window;
+    }
+
     /// Imports the records whose outcomes are still being stored, without waiting for the store, because runs with an
     /// outcome must not count as unfinished.
     fn import_pending_records(&mut self) {
--- a/node/src/dispatcher/handover_progress.rs
+++ b/node/src/dispatcher/handover_progress.rs
@@ -1,6 +1,7 @@
 //! The dispatcher's state of a handover between two processes of this node.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use oakwind_admission::RequestId;
 use tokio::sync::mpsc;
@@ -19,6 +20,8 @@
     pub(super) stores_released: bool,
     /// Where the keys of another process of this node are still to come from; `None` once they are known here.
     pub(super) awaiting_keys_from: Option<KeySource>,
+    /// When the keys that were lost with the predecessor have expired; zero if none were lost.
+    pub(super) lost_keys_expire_at: UnixTime,
     /// Attempts with keys that arrived before the keys of the other process. Their number is bounded by the number
     /// of requests that clients may have open on their connections.
     pub(super) buffered: Vec<Submission>,
@@ -34,6 +37,7 @@
             successor: None,
             stores_released: false,
             awaiting_keys_from,
+            lost_keys_expire_at: UnixTime::ZERO,
             buffered: Vec::new(),
             storing: HashMap::new(),
         }
@@ -60,6 +64,18 @@
         self.successor.as_ref().is_some_and(Successor::lacks_state)
     }
 
+    /// Whether an attempt that was received at this time may repeat a request whose key was lost with the predecessor.
+    pub(super) fn may_repeat_lost_key(&self, received_at: UnixTime) -> bool {
+        received_at < self.lost_keys_expire_at
+    }
+
+    /// Postpones the expiry of lost keys after the clock stepped ahead.
+    pub(super) fn postpone_expiry(&mut self, by: Duration) {
+        if !self.lost_keys_expire_at.is_zero() {
+            self.lost_keys_expire_at += by;
+        }
+    }
+
     /// Registers that one queued update has been written to the successor.
     pub(super) fn update_written(&mut self) {
         if let Some(successor) = &mut self.successor {
--- a/node/src/dispatcher/submission.rs
+++ b/node/src/dispatcher/submission.rs
@@ -86,9 +86,9 @@
         request: &Request,
         now: UnixTime,
     ) -> Option<RequestOutcome> {
-        if self.may_have_run_unrecorded(key, now) {
+        if self.may_have_run_unrecorded(key, request, now) {
             log!(
-                "dispatcher: request failed, its key may have run and its stored record may be damaged: txn={}",
+                "dispatcher: request failed, its key may have run and its record is lost: txn={}",
                 request.txn
             );
             return Some(RequestOutcome::Failed { timed_out: false });
@@ -146,7 +146,7 @@
         request: &Request,
         now: UnixTime,
     ) -> Option<RequestOutcome> {
-        if self.may_have_run_unrecorded(key, now) {
+        if self.may_have_run_unrecorded(key, request, now) {
             return Some(RequestOutcome::Failed { timed_out: false });
         }
         let outcome = self.idempotency.outcome(key, &request.body, request.received_at)?;
@@ -162,9 +162,12 @@
         }
     }
 
-    /// Whether a key that is not in the table may have run, because its stored record may be damaged.
-    fn may_have_run_unrecorded(&self, key: &IdempotencyKey, now: UnixTime) -> bool {
-        !self.idempotency.contains(key) && self.run_gate.may_have_run(key, now)
+    /// Whether a key that is not in the table may have run, because its stored record may be damaged, or was lost
+    /// with the predecessor.
+    fn may_have_run_unrecorded(&self, key: &IdempotencyKey, request: &Request, now: UnixTime) -> bool {
+        let may_have_run =
+            self.run_gate.may_have_run(key, now) || self.handover.may_repeat_lost_key(request.received_at);
+        may_have_run && !self.idempotency.contains(key)
     }
 
     /// Returns the rejection of a request that did not run although the admission module did not reject it: no
--- a/node/src/dispatcher/tests.rs
+++ b/node/src/dispatcher/tests.rs
@@ -247,6 +247,29 @@
     });
 }
 
+#[test]
+fn keys_lost_with_a_predecessor_fail_until_they_have_expired() {
+    run_test(async {
+        let mut node = Node::start(true).await;
+        node.submit(1, b"key", b"body").await;
+        node.exchange.predecessor_done().await;
+        assert_eq!(node.next_answer().await, (1, RequestOutcome::Failed { timed_out: false }));
+        // The window of the settings is twice `TEST_TIMEOUT`.
+        for (tag, received_after) in [(2, TEST_TIMEOUT), (3, 3 * TEST_TIMEOUT)] {
+            let responder = Responder::new(&node.answer_queue, RequestTag(tag)).unwrap();
+            let received_at = clock::now() + received_after;
+            let late = Request {
+                received_at,
+                deadline: received_at + TEST_TIMEOUT,
+                ..request(tag, b"key", b"body")
+            };
+            node.exchange.submit(late, responder).await;
+        }
+        assert_eq!(node.next_answer().await, (2, RequestOutcome::Failed { timed_out: false }));
+        assert_eq!(node.next_run().await.txn, txn(3));
+    });
+}
+
 #[test]
 fn a_predecessor_transfers_its_table_then_outcomes_and_rejects_new_keys() {
     run_test(async {
--- a/node/src/server/startup.rs
+++ b/node/src/server/startup.rs
@@ -217,7 +217,7 @@
         store_config: Option<config::ResultStoreConfig>,
     ) -> Result<StartingStore, StartupError> {
         let Some(store_config) = store_config else { return Ok(StartingStore::default()) };
-        let mut store = ResultStore::closed(store_config, self.config.max_idempotency_window());
+        let mut store = ResultStore::closed(store_config, self.config.settings.max_idempotency_window());
         if self.is_upgrade {
             return Ok(StartingStore { store: Some(store), recovered: None });
         }
--- a/node/tests/sockets/endings.rs
+++ b/node/tests/sockets/endings.rs
@@ -165,6 +165,27 @@
     assert_eq!(link.next_run().0, "a4");
 }
 
+/// Guards against bookings that run a second time because a predecessor was killed before it sent its keys, and "no keys
+/// came" was taken for "no key has run".
+#[test]
+fn keys_lost_with_a_predecessor_that_was_killed_do_not_run_again() {
+    let fixture = UpgradeFixture::new();
+    let (mut node, _vm, mut link, predecessor) = start_successor(&fixture, |text| text);
+    let mut client = node.client();
+    client.request(1, "a1", Some("buffered"), LONG_LIMIT_MS);
+    client.send(STATUS.replace(":1,", ":2,"));
+    assert!(client.read_line().contains("\"id\":2"), "the node has read both messages");
+    drop(predecessor);
+    node.wait_for_log(
+        "handover: keys were lost with the predecessor, keyed requests fail until they have expired",
+    );
+    assert!(client.read_line().contains("\"id\":1,\"error\":{\"code\":-32000"), "the key may have run");
+    client.request(3, "a3", Some("later"), LONG_LIMIT_MS);
+    assert!(client.read_line().contains("\"id\":3,\"error\":{\"code\":-32000"), "so may this one");
+    client.request(4, "a4", None, LONG_LIMIT_MS);
+    assert_eq!(link.next_run().0, "a4", "requests without a key are served");
+}
+
 #[test]
 fn a_shutdown_notice_before_the_keys_are_handed_over_leaves_no_attempt_without_a_response() {
     let fixture = UpgradeFixture::new();
--- a/settings/src/lib.rs
+++ b/settings/src/lib.rs
@@ -30,7 +30,18 @@
     pub retired_tenants: Vec<usize>,
 }
 
+/// Time for which keys are remembered beyond the window in the settings, as the clocks of callers differ.
+const WINDOW_MARGIN: Duration = Duration::from_secs(1);
+
 impl NamedSettings {
+    /// Returns the longest time for which any idempotency key is remembered, including a margin.
+    pub fn max_idempotency_window(&self) -> Duration {
+        let classes = self.settings.classes.iter();
+        let longest =
+            classes.map(|class| class.idempotency_window.max(class.deadline)).max().unwrap_or_default();
+        longest + WINDOW_MARGIN
+    }
+
     /// Returns the settings that replace `self` at a reload: classes and tenants with a known name keep their position,
     /// absent ones are retired, and new ones are appended.
     ///
