End the wait for keys only with news from the source that is awaited

Cause: a process that waits for the keys of a lost successor (from the store) and still has a predecessor ended that wait with the predecessor's next report or its end, as submit_buffered did not ask which keys were awaited. Read in the code after the two waits had got one field; three processes are needed to get there.

Change: end_wait_for_keys names its source and does nothing for another.

--- a/node/src/dispatcher/handover.rs
+++ b/node/src/dispatcher/handover.rs
@@ -145,8 +145,8 @@
         }
         if is_full_table {
             self.run_gate.acquire_stores(KeySource::Predecessor);
+            self.end_wait_for_keys(KeySource::Predecessor);
         }
-        self.submit_buffered();
     }
 
     /// Starts storing the outcome of a predecessor's run, which must be stored before it is given to any
@@ -225,9 +225,7 @@
     /// Imports the state of the store after another process of this node has ended without transferring its keys.
     pub(super) fn store_recovered(&mut self, recovered: HandoverState) {
         self.import_recovered(recovered);
-        if self.handover.awaiting_keys_from == Some(KeySource::Store) {
-            self.submit_buffered();
-        }
+        self.end_wait_for_keys(KeySource::Store);
     }
 
     /// Handles the end of the handover: the predecessor sends no more records. If its table never came, its keys
@@ -243,7 +241,7 @@
             }
             self.import_pending_records();
             self.fail_unfinished_earlier_runs();
-            self.submit_buffered();
+            self.end_wait_for_keys(KeySource::Predecessor);
             self.run_gate.predecessor_ended();
         }
         self.update_status(|status| status.predecessor_alive = false);
@@ -280,9 +278,12 @@
         self.handover.buffered.push(submission);
     }
 
-    /// Ends the wait for the keys of the other process and defers the buffered attempts to the next batch, which
-    /// submits them.
-    pub(super) fn submit_buffered(&mut self) {
+    /// Ends the wait for keys from this source, if it is the one that is awaited, and defers the buffered attempts to
+    /// the next batch, which submits them.
+    pub(super) fn end_wait_for_keys(&mut self, source: KeySource) {
+        if self.handover.awaiting_keys_from != Some(source) {
+            return;
+        }
         self.handover.awaiting_keys_from = None;
         self.update_status(|status| status.awaiting_state = false);
         let buffered = std::mem::take(&mut self.handover.buffered);
--- a/node/src/dispatcher/tests/stores.rs
+++ b/node/src/dispatcher/tests/stores.rs
@@ -13,16 +13,21 @@
     ResultStore::closed(config, TEST_TIMEOUT)
 }
 
+/// Opens the store once no other part of the test has its folder open, and returns its seed.
+async fn open_once_closed(store: &mut ResultStore) -> u64 {
+    loop {
+        match store.open() {
+            Ok(recovered) => return recovered.seed,
+            Err(_) => tokio::time::sleep(Duration::from_millis(1)).await,
+        }
+    }
+}
+
 /// Opens the store as another process of the node once this process has closed it, and stores that the key `known` ran
 /// with the result `result`. The folder is open until the returned store is dropped.
 async fn store_result_of_another_process(folder: &TestFolder) -> ResultStore {
     let mut store = closed_store(folder);
-    let seed = loop {
-        match store.open() {
-            Ok(recovered) => break recovered.seed,
-            Err(_) => tokio::time::sleep(Duration::from_millis(1)).await,
-        }
-    };
+    let seed = open_once_closed(&mut store).await;
     let body_digest = BodyDigest(digest(seed, b"body"));
     let expires_at = clock::now() + TEST_TIMEOUT;
     let (key, result) = (Bytes::from_static(b"known"), Bytes::from_static(b"result"));
@@ -32,6 +37,11 @@
     store
 }
 
+/// The seed of the body digests in the store, whose folder is closed before and after.
+async fn closed_store_seed(folder: &TestFolder) -> u64 {
+    open_once_closed(&mut closed_store(folder)).await
+}
+
 /// A process with an open store, and the key `own` that it runs.
 async fn start_with_open_store(folder: &TestFolder) -> Node {
     let mut store = closed_store(folder);
@@ -129,3 +139,26 @@
         assert_eq!(transferred.recv().await.unwrap().records.len(), 2, "the keys `own` and `known`");
     });
 }
+
+/// Guards against a wait for the store that ends with news of an earlier predecessor.
+#[test]
+fn the_end_of_a_predecessor_does_not_end_the_wait_for_the_keys_of_a_lost_successor() {
+    run_test(async {
+        let folder = TestFolder::new();
+        drop(store_result_of_another_process(&folder).await);
+        let run_gate = RunGate::new(Some(closed_store(&folder)), None);
+        let mut node = Node::start_with_run_gate(true, run_gate, None);
+        node.exchange.report(BackendEvent::Up { cold: false }).await;
+        let digest_seed = closed_store_seed(&folder).await;
+        node.exchange.receive_state(HandoverState { digest_seed, records: Vec::new() }).await;
+        let (updates, mut transferred) = mpsc::channel(8);
+        node.exchange.begin_handover(updates).await;
+        transferred.recv().await.unwrap();
+        node.exchange.successor_lost().await;
+        node.exchange.receive_state(HandoverState::default()).await;
+        node.exchange.predecessor_done().await;
+        node.submit(1, b"known", b"body").await;
+        assert_eq!(node.next_answer().await, (1, served(b"result")));
+        assert!(node.has_no_run_command());
+    });
+}
