Keep the updates that a silent successor has not read instead of giving it up

Cause: send_to_successor dropped a queue that was full (1,024 updates); the link took its end for that of the successor, and the dispatcher took the clients back.

Change: updates that find the queue full wait in the dispatcher and follow in order as it empties. No key is added after the transfer, so there is at most one for each key without an outcome then. A successor is lost only if its end of the link is closed.

Ruled out: a larger queue, and sending the whole table again, which does not say that a run never started.

--- a/node/src/dispatcher/handover.rs
+++ b/node/src/dispatcher/handover.rs
@@ -48,7 +48,7 @@
     /// unless this successor got it while it stood by.
     pub(super) fn begin_handover(&mut self, updates: mpsc::Sender<HandoverState>) {
         let has_table = self.handover.successor.as_ref().is_some_and(|successor| {
-            successor.stage == HandoverStage::Transferred && successor.updates.same_channel(&updates)
+            successor.stage == HandoverStage::Transferred && successor.receives_from(&updates)
         });
         if !has_table {
             let delayed = clock::now() + TRANSFER_DELAY;
@@ -115,11 +115,8 @@
     }
 
     fn send_to_successor(&mut self, state: HandoverState) {
-        let Some(successor) = &mut self.handover.successor else { return };
-        successor.unwritten_updates += 1;
-        if successor.updates.try_send(state).is_err() {
-            log!("handover: update queue to the successor is full or closed, no further updates are sent");
-            self.handover.successor = None;
+        if let Some(successor) = &mut self.handover.successor {
+            successor.send(state);
         }
     }
 }
--- a/node/src/dispatcher/handover_progress.rs
+++ b/node/src/dispatcher/handover_progress.rs
@@ -1,6 +1,6 @@
 //! The dispatcher's state of a handover between two processes of this node.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use oakwind_admission::RequestId;
@@ -80,6 +80,7 @@
     pub(super) fn update_written(&mut self) {
         if let Some(successor) = &mut self.successor {
             successor.unwritten_updates = successor.unwritten_updates.saturating_sub(1);
+            successor.send_backlog();
         }
     }
 }
@@ -98,16 +99,40 @@
 /// The process that takes over from this one.
 pub(super) struct Successor {
     /// Queue on which the idempotency table and later changes to it are sent to the successor.
-    pub(super) updates: mpsc::Sender<HandoverState>,
+    updates: mpsc::Sender<HandoverState>,
     pub(super) stage: HandoverStage,
-    /// Number of queued updates that have not been written to the successor.
-    pub(super) unwritten_updates: usize,
+    /// Updates for which the queue has no capacity, as the successor does not read. No key is added after the table
+    /// is transferred, so there is at most one for each key that had no outcome then.
+    backlog: VecDeque<HandoverState>,
+    /// Number of updates that have not been written to the successor.
+    unwritten_updates: usize,
 }
 
 impl Successor {
     /// A successor to which nothing has been sent yet.
     pub(super) fn new(updates: mpsc::Sender<HandoverState>, stage: HandoverStage) -> Self {
-        Successor { updates, stage, unwritten_updates: 0 }
+        Successor { updates, stage, backlog: VecDeque::new(), unwritten_updates: 0 }
+    }
+
+    /// Whether this successor is sent updates through this queue.
+    pub(super) fn receives_from(&self, updates: &mpsc::Sender<HandoverState>) -> bool {
+        self.updates.same_channel(updates)
+    }
+
+    /// Sends an update, after all earlier ones.
+    pub(super) fn send(&mut self, update: HandoverState) {
+        self.unwritten_updates += 1;
+        self.backlog.push_back(update);
+        self.send_backlog();
+    }
+
+    /// Sends as many updates as the queue has capacity for. A queue that is closed belongs to a successor that has
+    /// ended, which is reported as an event.
+    fn send_backlog(&mut self) {
+        while let Ok(permit) = self.updates.try_reserve() {
+            let Some(update) = self.backlog.pop_front() else { return };
+            permit.send(update);
+        }
     }
 
     /// When the table is to be transferred; `None` if it has been, or no time is set yet.
--- a/node/src/handover/predecessor.rs
+++ b/node/src/handover/predecessor.rs
@@ -13,7 +13,7 @@
 use crate::exchange::{Exchange, HandoverState};
 use crate::log;
 
-/// Capacity of the queue of updates to the successor. If it overflows, the handover ends.
+/// Capacity of the queue of updates to the successor. The dispatcher keeps the updates that find it full.
 const MAX_QUEUED_UPDATES: usize = 1024;
 
 /// Waits for successors on this socket and hands over to the first that requests it. If the successor ends,
