--- a/node/tests/sockets/helper/upgrade_fixture.rs
+++ b/node/tests/sockets/helper/upgrade_fixture.rs
@@ -4,7 +4,7 @@
 
 use tokio::net::TcpSocket;
 
-use super::{config, file, packet, unique_host, Node, Peer, Server, StoreFolder};
+use super::{config, file, packet, unique_host, Node, Peer, Server, StoreFolder, LONG_LIMIT_MS};
 
 /// The interpreter's answer to a new link, with which it is ready.
 pub(crate) const BANNER: &str = "BANNER fresh 0\r\n";
@@ -85,6 +85,16 @@
         Node::spawn_with(config, Some(&uwsgi), Some(&self.folder), self.remembered.as_deref())
     }
 
+    /// Has a process serve the key `ended` with the result `first`, on a connection that is closed again. Returns the
+    /// response, whose id is 1.
+    pub(crate) fn serve_ended_key(node: &Node, vm: &mut Peer) -> String {
+        let mut client = node.client();
+        client.request(1, "a1", Some("ended"), LONG_LIMIT_MS);
+        vm.next_run();
+        vm.send_run_result(1, "a1", "done", "first");
+        client.read_line()
+    }
+
     /// Sends a request with this idempotency key as a uwsgi client.
     pub(crate) fn uwsgi_request(&self, key: &str) -> Peer {
         let mut client = Peer::connect(self.uwsgi.parse().unwrap());
--- a/node/tests/sockets/upgrade.rs
+++ b/node/tests/sockets/upgrade.rs
@@ -162,12 +162,7 @@
 fn a_process_that_has_the_keys_and_cannot_serve_hands_them_to_a_further_process() {
     let fixture = UpgradeFixture::new();
     let (mut first, mut first_vm) = fixture.start();
-    let mut before = first.client();
-    before.request(1, "a1", Some("ended"), LONG_LIMIT_MS);
-    first_vm.next_run();
-    first_vm.send_run_result(1, "a1", "done", "x");
-    let result = before.read_line();
-    drop(before);
+    let result = UpgradeFixture::serve_ended_key(&first, &mut first_vm);
     let (mut second, _second_vm) = fixture.start_with_silent_interpreter();
     first.wait_for_log("handover: successor stands by until it can serve");
     first.terminate();
@@ -189,12 +184,7 @@
 fn a_process_that_can_serve_takes_over_before_one_that_stands_by() {
     let fixture = UpgradeFixture::new();
     let (mut first, mut first_vm) = fixture.start();
-    let mut before = first.client();
-    before.request(1, "a1", Some("ended"), LONG_LIMIT_MS);
-    first_vm.next_run();
-    first_vm.send_run_result(1, "a1", "done", "x");
-    let result = before.read_line();
-    drop(before);
+    let result = UpgradeFixture::serve_ended_key(&first, &mut first_vm);
     let (mut second, mut second_vm) = fixture.start_with_silent_interpreter();
     first.wait_for_log("handover: successor stands by until it can serve");
     let (mut third, _third_vm) = fixture.start();
@@ -220,12 +210,7 @@
 fn a_process_that_drains_ends_only_once_its_successor_has_the_keys() {
     let fixture = UpgradeFixture::new();
     let (mut predecessor, mut predecessor_vm, _) = fixture.start_with(with_drain_grace(30_000_000));
-    let mut before = predecessor.client();
-    before.request(1, "a1", Some("ended"), LONG_LIMIT_MS);
-    predecessor_vm.next_run();
-    predecessor_vm.send_run_result(1, "a1", "done", "x");
-    let result = before.read_line();
-    drop(before);
+    let result = UpgradeFixture::serve_ended_key(&predecessor, &mut predecessor_vm);
     predecessor.terminate();
     // Nothing is left to be answered, and the process only waits for the end of the grace period.
     predecessor.wait_for_log("dispatcher: health changed: healthy=false");
--- a/node/tests/sockets/upgrade_store.rs
+++ b/node/tests/sockets/upgrade_store.rs
@@ -84,12 +84,7 @@
     let store = StoreFolder::new("");
     let fixture = UpgradeFixture::with_store(&store);
     let (mut predecessor, mut predecessor_vm, _) = fixture.start_with(with_drain_grace(30_000_000));
-    let mut before = predecessor.client();
-    before.request(1, "a1", Some("ended"), LONG_LIMIT_MS);
-    predecessor_vm.next_run();
-    predecessor_vm.send_run_result(1, "a1", "done", "first");
-    let first = before.read_line();
-    drop(before);
+    let first = UpgradeFixture::serve_ended_key(&predecessor, &mut predecessor_vm);
     predecessor.terminate();
     predecessor.wait_for_log("dispatcher: health changed: healthy=false");
     let (mut successor, mut successor_vm) = fixture.start();
