--- a/node/src/dispatcher/handover.rs
+++ b/node/src/dispatcher/handover.rs
@@ -48,7 +48,7 @@
     /// unless this successor got it while it stood by.
     pub(super) fn begin_handover(&mut self, updates: mpsc::Sender<HandoverState>) {
         let has_table = self.handover.successor.as_ref().is_some_and(|successor| {
-            successor.stage == HandoverStage::Transferred && successor.updates.same_channel(&updates)
+            successor.stage == HandoverStage::Transferred && successor.receives_from(&updates)
         });
         if !has_table {
             let delayed = clock::now() + TRANSFER_DELAY;
@@ -115,11 +115,8 @@
     }
 
     fn send_to_successor(&mut self, state: HandoverState) {
-        let Some(successor) = &mut self.handover.successor else { return };
-        successor.unwritten_updates += 1;
-        if successor.updates.try_send(state).is_err() {
-            log!("handover: update queue to the successor is full or closed, no further updates are sent");
-            self.handover.successor = None;
+        if let Some(successor) = &mut self.handover.successor {
+            successor.send(state);
         }
     }
 }
@@ -145,8 +142,8 @@
         }
         if is_full_table {
             self.run_gate.acquire_stores(KeySource::Predecessor);
+            self.end_wait_for_keys(KeySource::Predecessor);
         }
-        self.submit_buffered();
     }
 
     /// Starts storing the outcome of a predecessor's run, which must be stored before it is given to any
@@ -225,9 +222,7 @@
     /// Imports the state of the store after another process of this node has ended without transferring its keys.
     pub(super) fn store_recovered(&mut self, recovered: HandoverState) {
         self.import_recovered(recovered);
-        if self.handover.awaiting_keys_from == Some(KeySource::Store) {
-            self.submit_buffered();
-        }
+        self.end_wait_for_keys(KeySource::Store);
     }
 
     /// Handles the end of the handover: the predecessor sends no more records. If its table never came, its keys
@@ -243,7 +238,7 @@
             }
             self.import_pending_records();
             self.fail_unfinished_earlier_runs();
-            self.submit_buffered();
+            self.end_wait_for_keys(KeySource::Predecessor);
             self.run_gate.predecessor_ended();
         }
         self.update_status(|status| status.predecessor_alive = false);
@@ -280,9 +275,12 @@
         self.handover.buffered.push(submission);
     }
 
-    /// Ends the wait for the keys of the other process and defers the buffered attempts to the next batch, which
-    /// submits them.
-    pub(super) fn submit_buffered(&mut self) {
+    /// Ends the wait for keys from this source, if it is the one that is awaited, and defers the buffered attempts to
+    /// the next batch, which submits them.
+    pub(super) fn end_wait_for_keys(&mut self, source: KeySource) {
+        if self.handover.awaiting_keys_from != Some(source) {
+            return;
+        }
         self.handover.awaiting_keys_from = None;
         self.update_status(|status| status.awaiting_state = false);
         let buffered = std::mem::take(&mut self.handover.buffered);
