Review case 8: a silent node runs a booking of a uwsgi client twice

Seen: a node is silent for 5.4 s over the end of a booking's window; the booking comes again over uwsgi 1 s before the window ends, is read after it, and runs a second time. A uwsgi request is taken to have come when it is read.

Nothing is mended here.

--- a/review/standin-2/src/config.rs
+++ b/review/standin-2/src/config.rs
@@ -50,13 +50,21 @@
     }
 }
 
+/// Length of the longest path in which a case's folder is created.
+const MAX_BASE_BYTES: usize = 30;
+
 /// A folder below the system's temporary folder, which is removed when this is dropped.
 pub struct CaseFolder(PathBuf);
 
 impl CaseFolder {
     /// Creates the folder of one case.
     pub fn create(case: &str) -> CaseFolder {
-        let folder = std::env::temp_dir().join(format!("oakwind-review-{case}-{}", std::process::id()));
+        let mut base = std::env::temp_dir();
+        // A node binds a Unix socket in its folder, whose path must be short.
+        if base.as_os_str().len() > MAX_BASE_BYTES {
+            base = PathBuf::from("/tmp");
+        }
+        let folder = base.join(format!("review-{case}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
         std::fs::create_dir_all(&folder).expect("a temporary folder");
         CaseFolder(folder)
--- a/review/standin-2/src/lib.rs
+++ b/review/standin-2/src/lib.rs
@@ -1,14 +1,14 @@
-//! Stand-ins of the second review, with the standard library alone: front ends, the interpreter, the membership
-//! service, and what starts and ends the nodes under test.
+//! Stand-ins of the second review, with the standard library alone: front ends and uwsgi clients, the interpreter, the
+//! membership service, and what starts and ends the nodes under test.
 
 pub mod bench;
 pub mod client;
 pub mod config;
-pub mod fleet;
 pub mod interpreter;
 pub mod node;
 pub mod ops;
 pub mod record;
+pub mod uwsgi;
 pub mod verdict;
 
 use std::collections::BTreeSet;
@@ -36,7 +36,8 @@
     let part = |divisor: u32| (pid / divisor % 250 + 1) as u8;
     let host = Ipv4Addr::new(127, part(1), part(250), part(62_500));
     loop {
-        let listener = TcpListener::bind((host, 0)).expect("a free port on loopback");
+        let bound = TcpListener::bind((host, 0)).or_else(|_| TcpListener::bind((Ipv4Addr::LOCALHOST, 0)));
+        let listener = bound.expect("a free port on loopback");
         let address = listener.local_addr().expect("the address of a listener");
         if GIVEN.lock().expect("addresses").insert(address) {
             return address;
