Keep the review's node folders short wherever the temporary folder lies

Seen: a node binds a Unix socket in its folder, and a long temporary folder would leave the upgrades of cases 6 and 9 without it.

--- a/review/standin-2/src/config.rs
+++ b/review/standin-2/src/config.rs
@@ -60,9 +60,9 @@
     /// Creates the folder of one case.
     pub fn create(case: &str) -> CaseFolder {
         let mut base = std::env::temp_dir();
-        // A node binds a Unix socket in its folder, whose path must be short.
+        // A node binds a Unix socket in its folder, whose path must be short. Nodes start from the root, as this does.
         if base.as_os_str().len() > MAX_BASE_BYTES {
-            base = PathBuf::from("/tmp");
+            base = PathBuf::from("target");
         }
         let folder = base.join(format!("review-{case}-{}", std::process::id()));
         let _ = std::fs::remove_dir_all(&folder);
--- a/review/standin-2/src/node.rs
+++ b/review/standin-2/src/node.rs
@@ -37,7 +37,7 @@
         let command = format!("{} {}", run_command()?, start.options);
         let log = File::create(&start.log).map_err(|error| format!("log of {}: {error}", start.name))?;
         let output = log.try_clone().map_err(|error| error.to_string())?;
-        let child = Command::new("/bin/sh")
+        let child = Command::new("sh")
             .args(["-c", command.trim()])
             .env("BALANCER_NAME", start.name)
             .env("BALANCER_LISTEN", start.listen.to_string())
@@ -70,7 +70,7 @@
         self.record.line(&format!("node {}: SIG{signal}", self.name));
         let pid = self.child.id().to_string();
         let command = format!("kill -{signal} {pid}");
-        let sent = Command::new("/bin/sh").args(["-c", &command]).stderr(Stdio::null()).status();
+        let sent = Command::new("sh").args(["-c", &command]).stderr(Stdio::null()).status();
         if !sent.is_ok_and(|status| status.success()) {
             self.record.line(&format!("node {}: SIG{signal} not sent", self.name));
         }
