Fail buffered keyed attempts of a successor instead of rejecting them

Cause: a successor buffers keyed attempts until it has the predecessor's table, 100 ms after it listens at the earliest, and answered those whose deadline came first with a rejection. It doesn't know then whether their keys have run. The same on related paths: all buffered attempts at a shutdown notice, and keyed attempts before a backend is up.

Change: such attempts fail, which makes no promise. A draining successor keeps them buffered until the keys come, their deadlines, or 500 ms before the stop, and has not drained before. A new log line names each.

Tests: a_buffered_attempt_whose_time_is_over_fails_and_is_not_rejected and a_successor_that_drains_answers_its_buffered_attempts_... fail without the change.

--- a/node/src/dispatcher.rs
+++ b/node/src/dispatcher.rs
@@ -163,7 +163,7 @@
     /// Time of the next wake-up if no event arrives earlier.
     fn next_wake(&self) -> UnixTime {
         let grace_end = self.grace_ends_at().filter(|_| self.status().accepting);
-        let handover_step = self.handover.next_wake(self.standby_transfer_at());
+        let handover_step = self.handover.next_wake(self.standby_transfer_at(), self.stops_at());
         let scheduled = [self.timers.next_wake(), grace_end, handover_step];
         scheduled.into_iter().flatten().min().unwrap_or_else(|| clock::now() + IDLE_WAKE_INTERVAL)
     }
@@ -175,12 +175,17 @@
         Some(shutdown.noticed_at + self.settings.settings.drain_grace)
     }
 
+    /// When this process is stopped; `None` without a shutdown notice.
+    fn stops_at(&self) -> Option<UnixTime> {
+        Some(self.status().draining?.stops_at)
+    }
+
     /// Passes the batch to the admission module and carries out its actions, and repeats this until neither
     /// events nor deferred attempts are left.
     fn process_batch(&mut self) {
         let now = clock::now();
         self.follow_clock_steps();
-        self.reject_expired_buffered(now);
+        self.fail_expired_buffered(now);
         self.fire_timers(now);
         loop {
             self.call_admission(now);
@@ -220,6 +225,7 @@
         let accepting = self.grace_ends_at().is_none_or(|at| now < at);
         let drained = self.status().draining.is_some()
             && !self.handover.owes_state()
+            && self.handover.buffered.is_empty()
             && !self.attempts.iter().any(|attempt| self.is_awaited(attempt));
         self.update_status(|status| {
             status.accepting = accepting;
--- a/node/src/dispatcher/handover.rs
+++ b/node/src/dispatcher/handover.rs
@@ -11,22 +11,19 @@
 use tokio::sync::mpsc;
 
 use super::attempts::{Phase, TIMEOUT_MARGIN};
-use super::handover_progress::{HandoverStage, Successor};
+use super::handover_progress::{HandoverStage, Successor, STOP_MARGIN};
 use super::idempotency::{AssignedKey, ImportedOutcome};
 use super::Dispatcher;
 use crate::clock::{self, UnixTime};
 use crate::exchange::{DispatcherEvent, HandoverState, Submission};
 use crate::log;
-use crate::outcome::{Completion, IdempotencyRecord, RunState, StoredOutcome};
+use crate::outcome::{Completion, IdempotencyRecord, RequestOutcome, RunState, StoredOutcome};
 use crate::result_store::KeySource;
 use crate::run_gate::KeyedRun;
 
 /// Delay between directing clients to the successor and transferring the idempotency table. Requests that
 /// clients send before they learn of the successor still run here.
 const TRANSFER_DELAY: Duration = Duration::from_millis(100);
-/// How long before this process is stopped a successor on standby gets the table, if the grace period of the
-/// drain lasts longer than that.
-const STANDBY_TRANSFER_MARGIN: Duration = Duration::from_millis(500);
 
 /// This process as the predecessor: it transfers its state.
 impl Dispatcher {
@@ -40,8 +37,7 @@
     /// runs here. `None` without a shutdown notice.
     pub(super) fn standby_transfer_at(&self) -> Option<UnixTime> {
         let grace_end = self.grace_ends_at()?;
-        let stops_at = self.status().draining?.stops_at;
-        Some(grace_end.min(stops_at.saturating_sub(STANDBY_TRANSFER_MARGIN)))
+        Some(grace_end.min(self.stops_at()?.saturating_sub(STOP_MARGIN)))
     }
 
     /// Starts a handover: clients are directed to the successor, and the table follows after [`TRANSFER_DELAY`],
@@ -287,18 +283,18 @@
         self.deferred.extend(buffered.into_iter().map(DispatcherEvent::Submitted));
     }
 
-    /// Rejects buffered attempts whose deadline is near, or all of them while this process drains, so that they are
-    /// answered in time even if the keys of the other process never come.
-    pub(super) fn reject_expired_buffered(&mut self, now: UnixTime) {
-        let is_draining = self.status().draining.is_some();
-        let has_expired =
-            |submission: &Submission| is_draining || now + TIMEOUT_MARGIN >= submission.request.deadline;
-        let buffered = std::mem::take(&mut self.handover.buffered);
-        let (expired, waiting): (Vec<_>, Vec<_>) = buffered.into_iter().partition(has_expired);
-        self.handover.buffered = waiting;
-        for submission in expired {
-            let outcome = self.rejection_without_admission();
-            self.answer_submission(submission, outcome);
+    /// Fails the buffered attempts that have to be answered now, although the keys of the other process are not known.
+    /// Their keys may have run there, so they must not be rejected: a rejection promises that nothing ran.
+    pub(super) fn fail_expired_buffered(&mut self, now: UnixTime) {
+        let stops_at = self.stops_at();
+        for submission in self.handover.take_expired_buffered(now, stops_at) {
+            let request = &submission.request;
+            log!(
+                "handover: request failed, its key may have run and the keys are not known yet: txn={}",
+                request.txn
+            );
+            let timed_out = now + TIMEOUT_MARGIN >= request.deadline;
+            self.answer_submission(submission, RequestOutcome::Failed { timed_out });
         }
     }
 }
--- a/node/src/dispatcher/handover_progress.rs
+++ b/node/src/dispatcher/handover_progress.rs
@@ -12,6 +12,10 @@
 use crate::outcome::IdempotencyRecord;
 use crate::result_store::KeySource;
 
+/// How long before this process is stopped its last steps are taken: a successor on standby gets the table, and buffered
+/// attempts are answered.
+pub(super) const STOP_MARGIN: Duration = Duration::from_millis(500);
+
 /// State of a handover, either from the predecessor or to the successor.
 pub(super) struct HandoverProgress {
     /// The process that takes over from this one; `None` if no such process runs.
@@ -43,13 +47,25 @@
         }
     }
 
-    /// Time of the next step: transferring the table or rejecting the buffered attempt with the nearest deadline.
-    /// `standby_transfer_at` is when a successor on standby gets the table.
-    pub(super) fn next_wake(&self, standby_transfer_at: Option<UnixTime>) -> Option<UnixTime> {
+    /// Time of the next step: transferring the table or answering the buffered attempt that can wait least.
+    /// `standby_transfer_at` is when a successor on standby gets the table, and `stops_at` when this process is stopped.
+    pub(super) fn next_wake(
+        &self,
+        standby_transfer_at: Option<UnixTime>,
+        stops_at: Option<UnixTime>,
+    ) -> Option<UnixTime> {
         let transfer_at = self.transfer_at(standby_transfer_at);
-        let deadlines = self.buffered.iter().map(|submission| submission.request.deadline);
-        let reject_at = deadlines.map(|deadline| deadline.saturating_sub(TIMEOUT_MARGIN)).min();
-        transfer_at.into_iter().chain(reject_at).min()
+        let answer_at = self.buffered.iter().map(|submission| buffered_until(submission, stops_at)).min();
+        transfer_at.into_iter().chain(answer_at).min()
+    }
+
+    /// Removes and returns the buffered attempts that can't wait any longer for the keys of the other process.
+    pub(super) fn take_expired_buffered(
+        &mut self,
+        now: UnixTime,
+        stops_at: Option<UnixTime>,
+    ) -> Vec<Submission> {
+        self.buffered.extract_if(.., |submission| now >= buffered_until(submission, stops_at)).collect()
     }
 
     /// When the table is to be transferred to the successor; `None` if there is nothing to transfer, no time is set
@@ -85,6 +101,13 @@
     }
 }
 
+/// When a buffered attempt has to be answered, whether or not its key is known by then.
+fn buffered_until(submission: &Submission, stops_at: Option<UnixTime>) -> UnixTime {
+    let before_deadline = submission.request.deadline.saturating_sub(TIMEOUT_MARGIN);
+    let before_stop = stops_at.map(|stops_at| stops_at.saturating_sub(STOP_MARGIN));
+    before_stop.map_or(before_deadline, |before_stop| before_stop.min(before_deadline))
+}
+
 /// How far the handover to a successor has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum HandoverStage {
--- a/node/src/dispatcher/submission.rs
+++ b/node/src/dispatcher/submission.rs
@@ -41,6 +41,9 @@
         }
         let now = clock::now();
         let key = self.dedup_key(&request);
+        if key.is_some() && self.status().awaiting_state {
+            return self.buffer_until_state_received(submission);
+        }
         if self.admission.is_none() {
             let outcome = self.outcome_before_start(key.as_ref(), &request, now);
             return self.answer_submission(submission, outcome);
@@ -58,9 +61,6 @@
         key: IdempotencyKey,
         now: UnixTime,
     ) {
-        if self.status().awaiting_state {
-            return self.buffer_until_state_received(submission);
-        }
         if let Some(outcome) = self.outcome_without_admission(&key, request, now) {
             return self.answer_submission(submission, outcome);
         }
@@ -135,7 +135,6 @@
         request: &Request,
         now: UnixTime,
     ) -> RequestOutcome {
-        let key = key.filter(|_| !self.status().awaiting_state);
         let known = key.and_then(|key| self.known_outcome(key, request, now));
         known.unwrap_or_else(|| self.rejection_without_admission())
     }
--- a/node/src/dispatcher/tests/handover.rs
+++ b/node/src/dispatcher/tests/handover.rs
@@ -23,6 +23,47 @@
     });
 }
 
+/// Guards against a rejection, which promises that nothing ran, of a key that may have run at the predecessor.
+#[test]
+fn a_buffered_attempt_whose_time_is_over_fails_and_is_not_rejected() {
+    run_test(async {
+        for backend_is_up in [true, false] {
+            let mut node = Node::start_without_backend(true);
+            if backend_is_up {
+                node.exchange.report(BackendEvent::Up { cold: false }).await;
+            }
+            let responder = Responder::new(&node.answer_queue, RequestTag(1)).unwrap();
+            let deadline = clock::now() + TIMEOUT_MARGIN;
+            node.exchange.submit(Request { deadline, ..request(1, b"known", b"body") }, responder).await;
+            assert_eq!(node.next_answer().await, (1, RequestOutcome::Failed { timed_out: true }));
+        }
+    });
+}
+
+/// Guards against a process that drains and rejects keys that its predecessor may have run, or ends before it has
+/// answered them.
+#[test]
+fn a_successor_that_drains_answers_its_buffered_attempts_once_it_has_the_table_or_before_it_is_stopped() {
+    run_test(async {
+        let mut node = Node::start(true).await;
+        node.submit(1, b"known", b"body").await;
+        node.exchange.drain(clock::now() + TEST_TIMEOUT).await;
+        let mut status = node.exchange.status();
+        status.wait_for(|status| status.draining.is_some()).await.unwrap();
+        assert!(!status.borrow().drained);
+        let result = RunState::Succeeded(Bytes::from_static(b"result"));
+        let table = HandoverState { digest_seed: DIGEST_SEED, records: vec![predecessor_record(result)] };
+        node.exchange.receive_state(table).await;
+        assert_eq!(node.next_answer().await, (1, served(b"result")));
+        status.wait_for(|status| status.drained).await.unwrap();
+
+        let mut node = Node::start(true).await;
+        node.submit(1, b"known", b"body").await;
+        node.exchange.drain(clock::now() + handover_progress::STOP_MARGIN).await;
+        assert_eq!(node.next_answer().await, (1, RequestOutcome::Failed { timed_out: false }));
+    });
+}
+
 #[test]
 fn unreported_runs_of_a_predecessor_count_as_failed_once_it_has_ended() {
     run_test(async {
