Fail keys at a predecessor that its successor may have run, instead of rejecting them

Callers saw: in an upgrade a booking ran at the successor; a further attempt that reached the predecessor, on a connection that it still served, was rejected as never run.

Cause: once its table is sent, a predecessor can't know which keys the successor has run since, and rejected every key that is not in its own table. A key whose window was over counted as in the table, so that it could have run at both (read, not shown).

Change: such attempts fail, which makes no promise; a front end may bring them to the same node again. Keys whose window is over count as unknown there.

Test: upgrade::a_predecessor_does_not_reject_a_key_that_its_successor_has_run fails without the change. Two tests expected the rejection of a key that was new to both processes; the predecessor can't tell it from the other, so they ask for the exact failure now, and fail without the change too.

--- a/node/src/dispatcher/handover.rs
+++ b/node/src/dispatcher/handover.rs
@@ -2,8 +2,8 @@
 //! the state that it transfers to its successor. `crate::handover` is the link between the two processes.
 //!
 //! No request with a key runs twice while both processes run: once the predecessor has transferred its table,
-//! it rejects keys that are not in it; the successor buffers attempts with keys until it has received the
-//! table.
+//! it fails attempts whose keys are not in it, as the successor may have run them; the successor buffers attempts
+//! with keys until it has received the table.
 
 use std::time::Duration;
 
--- a/node/src/dispatcher/idempotency.rs
+++ b/node/src/dispatcher/idempotency.rs
@@ -250,6 +250,11 @@
         self.entries.contains_key(key)
     }
 
+    /// Whether the table has an entry for this key that had not expired at `received_at`.
+    pub(crate) fn contains_current(&self, key: &IdempotencyKey, received_at: UnixTime) -> bool {
+        self.entries.get(key).is_some_and(|entry| !entry.has_expired(received_at))
+    }
+
     /// Returns the key that this attempt holds.
     pub(crate) fn assigned_key(&self, id: RequestId) -> Option<AssignedKey> {
         let key = self.key_by_holder.get(&id)?;
--- a/node/src/dispatcher/submission.rs
+++ b/node/src/dispatcher/submission.rs
@@ -93,14 +93,11 @@
             );
             return Some(RequestOutcome::Failed { timed_out: false });
         }
-        if self.idempotency.contains(key) {
-            return None;
-        }
-        // The successor would not learn of the new key and could run it a second time.
-        if self.state_is_transferred() {
-            return Some(self.rejection_without_admission());
+        if self.may_have_run_at_successor(key, request) {
+            log!("handover: request failed, its key may have run at the successor: txn={}", request.txn);
+            return Some(RequestOutcome::Failed { timed_out: false });
         }
-        if self.idempotency.is_full() {
+        if self.idempotency.is_full() && !self.idempotency.contains(key) {
             log!("dispatcher: request rejected, idempotency table is full: txn={}", request.txn);
             return Some(self.rejection_without_admission());
         }
@@ -145,7 +142,9 @@
         request: &Request,
         now: UnixTime,
     ) -> Option<RequestOutcome> {
-        if self.may_have_run_unrecorded(key, request, now) {
+        let is_unknown =
+            self.may_have_run_unrecorded(key, request, now) || self.may_have_run_at_successor(key, request);
+        if is_unknown {
             return Some(RequestOutcome::Failed { timed_out: false });
         }
         let outcome = self.idempotency.outcome(key, &request.body, request.received_at)?;
@@ -169,9 +168,14 @@
         may_have_run && !self.idempotency.contains(key)
     }
 
+    /// Whether a key that is not in the table may have run at the successor, to which the table was transferred. The
+    /// successor would not learn of a run here either, so none may start.
+    fn may_have_run_at_successor(&self, key: &IdempotencyKey, request: &Request) -> bool {
+        self.state_is_transferred() && !self.idempotency.contains_current(key, request.received_at)
+    }
+
     /// Returns the rejection of a request that did not run although the admission module did not reject it: no
-    /// backend can run requests yet, the idempotency table is full or has been transferred, the run gate denied
-    /// the run, the queue of run commands was full, or no server accepted the run. The advised wait varies between
+    /// backend can run requests yet, the idempotency table is full, the run gate denied the run, the queue of run commands was full, or no server accepted the run. The advised wait varies between
     /// rejections and between nodes, so that callers don't retry all at once.
     pub(super) fn rejection_without_admission(&self) -> RequestOutcome {
         let settings = &self.settings.settings;
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -13,7 +13,7 @@
 //! | predecessor | `ALL` | the table is complete; each later `KEY` reports how a run ended |
 //!
 //! No key runs twice, whichever process receives its attempts: after sending its table the
-//! predecessor rejects keys that it does not know, and until it has received the table the successor buffers
+//! predecessor fails keys that it does not know, and until it has received the table the successor buffers
 //! attempts with keys.
 //!
 //! The other process may be of an older release, so the lines and the name of the socket must not change. A
