Fail keys of a result store that can't be opened instead of rejecting them

What callers would see: a process whose predecessor or successor ended with the keys, and that can't open their result store, rejected every keyed request as never run, also those in the store that have run.

Cause: the event that the store can't be opened ended the wait for its keys as if it held none; the runs were then denied, and a denied run is rejected.

Change: the keys count as lost, as those of a predecessor without a store do, so that keyed requests fail until the longest window is over.

Test: a_successor_that_got_no_table_and_cannot_open_the_store_fails_keyed_attempts fails without the change. It guarded against a run before and expected the rejection; it now asks for the exact failure, of attempts before and after.

--- a/node/src/dispatcher/handover.rs
+++ b/node/src/dispatcher/handover.rs
@@ -221,6 +221,18 @@
         self.end_wait_for_keys(KeySource::Store);
     }
 
+    /// Handles a store that can't be opened. If the keys of another process were to be read from it, they are lost.
+    pub(super) fn store_unavailable(&mut self) {
+        if self.handover.awaiting_keys_from == Some(KeySource::Store) {
+            let window = self.register_lost_keys();
+            log!(
+                "handover: keys in the result store can't be read, keyed requests fail until they have expired: window_ms={}",
+                window.as_millis()
+            );
+        }
+        self.end_wait_for_keys(KeySource::Store);
+    }
+
     /// Handles the end of the handover: the predecessor sends no more records. If its table never came, its keys
     /// are read from the result store. Without a store they are lost.
     pub(super) fn predecessor_done(&mut self) {
@@ -230,7 +242,11 @@
             self.acquire_stores_and_keys();
         } else {
             if table_missing && !self.run_gate.is_durable() {
-                self.register_lost_keys();
+                let window = self.register_lost_keys();
+                log!(
+                    "handover: keys were lost with the predecessor, keyed requests fail until they have expired: window_ms={}",
+                    window.as_millis()
+                );
             }
             self.import_pending_records();
             self.fail_unfinished_earlier_runs();
@@ -240,15 +256,12 @@
         self.update_status(|status| status.predecessor_alive = false);
     }
 
-    /// Registers that the predecessor has ended with its keys. Until all of them have expired, attempts with keys that
-    /// are not in the table fail, as any of them may have run.
-    fn register_lost_keys(&mut self) {
+    /// Registers that the keys of another process of this node are lost. Until all of them have expired, attempts with
+    /// keys that are not in the table fail, as any of them may have run. Returns how long that takes.
+    fn register_lost_keys(&mut self) -> Duration {
         let window = self.settings.max_idempotency_window();
-        log!(
-            "handover: keys were lost with the predecessor, keyed requests fail until they have expired: window_ms={}",
-            window.as_millis()
-        );
         self.handover.lost_keys_expire_at = clock::now() + window;
+        window
     }
 
     /// Imports the records whose outcomes are still being stored, without waiting for the store, because runs with an
--- a/node/src/dispatcher/handover_progress.rs
+++ b/node/src/dispatcher/handover_progress.rs
@@ -24,7 +24,7 @@
     pub(super) stores_released: bool,
     /// Where the keys of another process of this node are still to come from; `None` once they are known here.
     pub(super) awaiting_keys_from: Option<KeySource>,
-    /// When the keys that were lost with the predecessor have expired; zero if none were lost.
+    /// When the keys of another process of this node that were lost have expired; zero if none were lost.
     pub(super) lost_keys_expire_at: UnixTime,
     /// Attempts with keys that arrived before the keys of the other process. Their number is bounded by the number
     /// of requests that clients may have open on their connections.
@@ -80,7 +80,7 @@
         self.successor.as_ref().is_some_and(Successor::lacks_state)
     }
 
-    /// Whether an attempt that was received at this time may repeat a request whose key was lost with the predecessor.
+    /// Whether an attempt that was received at this time may repeat a request whose key was lost with another process.
     pub(super) fn may_repeat_lost_key(&self, received_at: UnixTime) -> bool {
         received_at < self.lost_keys_expire_at
     }
--- a/node/src/dispatcher/runs.rs
+++ b/node/src/dispatcher/runs.rs
@@ -23,7 +23,6 @@
 use crate::exchange::{CallCommand, Request, RunCommand, TransactionId};
 use crate::log;
 use crate::outcome::{Completion, RequestOutcome, RunState, StoredOutcome};
-use crate::result_store::KeySource;
 use crate::run_gate::{Authorization, GateEvent, KeyedRun};
 
 impl Dispatcher {
@@ -191,7 +190,7 @@
             GateEvent::OutcomeUnknown(id) => self.abandon_key(id, RequestOutcome::Failed { timed_out: true }),
             GateEvent::BodyMismatch(id) => self.abandon_key(id, RequestOutcome::BodyMismatch),
             GateEvent::Recovered(state) => self.store_recovered(state),
-            GateEvent::StoreUnavailable => self.end_wait_for_keys(KeySource::Store),
+            GateEvent::StoreUnavailable => self.store_unavailable(),
         }
     }
 
--- a/node/src/dispatcher/tests/stores.rs
+++ b/node/src/dispatcher/tests/stores.rs
@@ -80,9 +80,10 @@
     });
 }
 
-/// Guards against keyed attempts that run, and are not stored, because the store can't be opened.
+/// Guards against keyed attempts that run, and are not stored, because the store can't be opened, and against a rejection,
+/// which promises that nothing ran, of keys that are in that store.
 #[test]
-fn a_successor_that_got_no_table_and_cannot_open_the_store_runs_no_key() {
+fn a_successor_that_got_no_table_and_cannot_open_the_store_fails_keyed_attempts() {
     run_test(async {
         let folder = TestFolder::new();
         let run_gate = RunGate::new(Some(closed_store(&folder)), None);
@@ -91,7 +92,9 @@
         node.exchange.report(BackendEvent::Up { cold: false }).await;
         node.submit(1, b"new", b"body").await;
         node.exchange.predecessor_done().await;
-        assert!(matches!(node.next_answer().await, (1, RequestOutcome::Rejected { .. })));
+        assert_eq!(node.next_answer().await, (1, RequestOutcome::Failed { timed_out: false }));
+        node.submit(2, b"new", b"body").await;
+        assert_eq!(node.next_answer().await, (2, RequestOutcome::Failed { timed_out: false }));
         assert!(node.has_no_run_command());
     });
 }
