Look up uwsgi variables in the packet instead of building a table of them

Cause: each variable became an entry of 64 bytes as soon as the head was complete, and stayed until the body came or 2 s were over.

Change: look-ups search the block. The key is copied, so that it doesn't keep the packet. Usage of a process names its peak memory, for the test.

--- a/fault-harness/src/process.rs
+++ b/fault-harness/src/process.rs
@@ -26,6 +26,8 @@
 pub struct Usage {
     /// Resident memory, in KB.
     pub memory_kb: u64,
+    /// Largest resident memory since the start of the process, in KB.
+    pub peak_memory_kb: u64,
     /// Number of open file descriptors.
     pub descriptors: u64,
     /// CPU time since the start of the process, in milliseconds.
@@ -87,17 +89,28 @@
     pub fn usage(&self) -> Option<Usage> {
         let folder = format!("/proc/{}", self.child.id());
         let status = std::fs::read_to_string(format!("{folder}/status")).ok()?;
-        let rss = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
-        let memory_kb = rss.split_whitespace().next()?.parse().ok()?;
+        let memory_kb = status_kb(&status, "VmRSS:")?;
+        let peak_memory_kb = status_kb(&status, "VmHWM:")?;
         let descriptors = std::fs::read_dir(format!("{folder}/fd")).ok()?.count() as u64;
         let stat = std::fs::read_to_string(format!("{folder}/stat")).ok()?;
         // The program's name may contain any character, but no closing bracket follows the one that ends it.
         let times = stat.rsplit(") ").next()?.split(' ').skip(STAT_FIELDS_BEFORE_TIMES).take(STAT_TIMES);
         let ticks: u64 = times.filter_map(|ticks| ticks.parse::<u64>().ok()).sum();
-        Some(Usage { memory_kb, descriptors, cpu_ms: ticks * MS_PER_SECOND / TICKS_PER_SECOND })
+        Some(Usage {
+            memory_kb,
+            peak_memory_kb,
+            descriptors,
+            cpu_ms: ticks * MS_PER_SECOND / TICKS_PER_SECOND,
+        })
     }
 }
 
+/// The value of a field of `/proc/PID/status` that is in KB.
+fn status_kb(status: &str, field: &str) -> Option<u64> {
+    let value = status.lines().find_map(|line| line.strip_prefix(field))?;
+    value.split_whitespace().next()?.parse().ok()
+}
+
 impl std::ops::Drop for Program {
     fn drop(&mut self) {
         // Killing fails if the process has already ended.
--- a/node/src/frontend/uwsgi/request.rs
+++ b/node/src/frontend/uwsgi/request.rs
@@ -152,7 +152,8 @@
         if key.len() > MAX_KEY_BYTES {
             return Err(RequestError::BadRequest("the key is too long"));
         }
-        Ok(Some(key.clone()))
+        // Copied, as the key outlives the packet.
+        Ok(Some(Bytes::copy_from_slice(key)))
     }
 
     fn tenant(&self, variables: &Variables) -> Result<TenantId, RequestError> {
--- a/node/src/uwsgi.rs
+++ b/node/src/uwsgi.rs
@@ -4,10 +4,12 @@
 //! modifier) and the variables. Each variable is a name and a value, each preceded by its length in two
 //! bytes. A body may follow the packet.
 
-use bytes::{Buf, BufMut, Bytes, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 
 /// Length of the head, in bytes.
 pub(crate) const HEAD_BYTES: usize = 4;
+/// Length of the length that precedes a name or a value, in bytes.
+const LENGTH_BYTES: usize = 2;
 
 /// The fields of the head.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,15 +30,16 @@
     }
 }
 
-/// The variables of a packet, as slices of the read buffer.
+/// The variables of a packet. Each look-up searches the block that was read: a table of very short variables would take
+/// many times the memory of the block, on every connection of a client that sends such packets.
 #[derive(Debug, Default, PartialEq)]
-pub(crate) struct Variables(Vec<ReceivedVariable>);
+pub(crate) struct Variables(Bytes);
 
 /// A variable that was decoded.
-#[derive(Debug, PartialEq)]
-struct ReceivedVariable {
-    name: Bytes,
-    value: Bytes,
+#[derive(Debug, Clone, Copy)]
+struct ReceivedVariable<'a> {
+    name: &'a [u8],
+    value: &'a [u8],
 }
 
 /// A variable that is to be encoded.
@@ -55,19 +58,19 @@
 
 impl Variables {
     /// Decodes the variables of a packet; none if their lengths do not add up to that of the block.
-    pub(crate) fn parse(mut block: Bytes) -> Option<Variables> {
-        let mut variables = Vec::new();
-        while !block.is_empty() {
-            let name = split_off_text(&mut block)?;
-            let value = split_off_text(&mut block)?;
-            variables.push(ReceivedVariable { name, value });
+    pub(crate) fn parse(block: Bytes) -> Option<Variables> {
+        let mut rest = &block[..];
+        while !rest.is_empty() {
+            split_off_variable(&mut rest)?;
         }
-        Some(Variables(variables))
+        Some(Variables(block))
     }
 
     /// The value of a variable; the last one if the name occurs more than once.
-    pub(crate) fn get(&self, name: &str) -> Option<&Bytes> {
-        self.0.iter().rev().find(|variable| variable.name == name.as_bytes()).map(|variable| &variable.value)
+    pub(crate) fn get(&self, name: &str) -> Option<&[u8]> {
+        let mut rest = &self.0[..];
+        let variables = std::iter::from_fn(|| split_off_variable(&mut rest));
+        variables.filter(|variable| variable.name == name.as_bytes()).last().map(|variable| variable.value)
     }
 
     /// The value of a variable as text; none if it is absent, empty or not UTF-8.
@@ -76,13 +79,19 @@
     }
 }
 
+/// Removes a variable from the front of the block; none if the block is cut off.
+fn split_off_variable<'a>(block: &mut &'a [u8]) -> Option<ReceivedVariable<'a>> {
+    let name = split_off_text(block)?;
+    let value = split_off_text(block)?;
+    Some(ReceivedVariable { name, value })
+}
+
 /// Removes a name or a value from the front of the block.
-fn split_off_text(block: &mut Bytes) -> Option<Bytes> {
-    if block.remaining() < 2 {
-        return None;
-    }
-    let length = usize::from(block.get_u16_le());
-    (block.remaining() >= length).then(|| block.split_to(length))
+fn split_off_text<'a>(block: &mut &'a [u8]) -> Option<&'a [u8]> {
+    let (length, rest) = block.split_first_chunk::<LENGTH_BYTES>()?;
+    let (text, rest) = rest.split_at_checked(usize::from(u16::from_le_bytes(*length)))?;
+    *block = rest;
+    Some(text)
 }
 
 /// Encodes a request packet with these variables; none if they are too long for one.
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -11,6 +11,7 @@
 mod helper;
 mod jsonrpc;
 mod links;
+mod memory;
 
 mod decision_log;
 mod reload;
