Copy the fields of a request instead of keeping its whole line in memory

Cause: the transaction id, the idempotency key and the JSON-RPC id were slices of the line, and a slice keeps the buffer that it is a part of for as long as the request is open.

Change: the three are copied, as they outlive the line. An id of over 64 bytes, which would be kept as long, is refused as an invalid request.

--- a/node/src/frontend/jsonrpc/connection/requests.rs
+++ b/node/src/frontend/jsonrpc/connection/requests.rs
@@ -41,7 +41,7 @@
                 self.withdraw(&withdrawal).await;
                 Ok(())
             }
-            class => self.process_request(id, class, params, line).await,
+            class => self.process_request(id, class, params).await,
         }
     }
 
@@ -50,7 +50,6 @@
         id: Option<Bytes>,
         class: &str,
         params: &str,
-        line: &Bytes,
     ) -> Result<(), ErrorResponse> {
         let Some(class) = self.registry.class_id(class, clock::now()) else {
             let error = RpcError { code: ErrorCode::MethodNotFound, message: "no such method" };
@@ -64,7 +63,7 @@
         if self.open.values().any(|open| open.id == id) {
             return Err(RpcError::invalid_request("the id is in use").without_id());
         }
-        let request = request::decode(&self.registry, class, params, line);
+        let request = request::decode(&self.registry, class, params);
         let request = request.map_err(|error| error.in_reply_to(Some(&id)))?;
         self.submit(id, request).await
     }
@@ -78,6 +77,8 @@
         };
         self.is_proven = true;
         let submission = self.exchange.submit(request, responder).await;
+        // Copied, as the id must not keep the line that it was read in.
+        let id = Bytes::copy_from_slice(&id);
         self.open.insert(tag, OpenRequest { id, submission });
         Ok(())
     }
--- a/node/src/frontend/jsonrpc/message.rs
+++ b/node/src/frontend/jsonrpc/message.rs
@@ -9,6 +9,9 @@
 
 use super::response::{ErrorCode, ErrorResponse, RpcError};
 
+/// Maximum length of an id, in bytes. It is kept until the request has its response.
+const MAX_ID_BYTES: usize = 64;
+
 /// The members of a message, as JSON-RPC 2.0 names them.
 #[derive(Deserialize)]
 struct Envelope<'a> {
@@ -81,9 +84,9 @@
     }
 }
 
-/// Whether an id is a number or a string, not an object, an array or a Boolean.
+/// Whether an id is a number or a string of at most [`MAX_ID_BYTES`], not an object, an array or a Boolean.
 fn is_valid_id(id: &RawValue) -> bool {
-    !matches!(id.get().as_bytes().first(), Some(b'{' | b'[' | b't' | b'f'))
+    id.get().len() <= MAX_ID_BYTES && !matches!(id.get().as_bytes().first(), Some(b'{' | b'[' | b't' | b'f'))
 }
 
 fn is_object(json: &[u8]) -> bool {
--- a/node/src/frontend/jsonrpc/request.rs
+++ b/node/src/frontend/jsonrpc/request.rs
@@ -55,16 +55,12 @@
     body: Cow<'a, str>,
 }
 
-/// Decodes the parameters of a request of this class. Strings are slices of `line` if possible.
-pub(super) fn decode(
-    registry: &ClassRegistry,
-    class: ClassId,
-    params: &str,
-    line: &Bytes,
-) -> Result<Request, RpcError> {
+/// Decodes the parameters of a request of this class. The request outlives its line and keeps nothing of it: its strings
+/// are copies, as a slice would keep the whole line in memory for as long as the request is open.
+pub(super) fn decode(registry: &ClassRegistry, class: ClassId, params: &str) -> Result<Request, RpcError> {
     let params: Params = serde_json::from_str(params)
         .map_err(|_| RpcError::invalid_params("a field is missing or of another kind"))?;
-    let key = params.idempotency_key(registry.requires_key(class), line)?;
+    let key = params.idempotency_key(registry.requires_key(class))?;
     params.check_ranges()?;
     let now = clock::now();
     // A client whose clock runs ahead must not make a request newer than what the key table knows.
@@ -74,7 +70,7 @@
     let body = params.decode_body()?;
     let cost_hint = params.cost_ms.map(duration_from_millis).transpose()?;
     Ok(Request {
-        txn: slice_of(line, &params.txn).into(),
+        txn: Bytes::copy_from_slice(params.txn.as_bytes()).into(),
         class,
         tenant,
         key,
@@ -90,12 +86,14 @@
 
 impl Params<'_> {
     /// The idempotency key; none in classes whose requests carry none.
-    fn idempotency_key(&self, requires_key: bool, line: &Bytes) -> Result<Option<Bytes>, RpcError> {
+    fn idempotency_key(&self, requires_key: bool) -> Result<Option<Bytes>, RpcError> {
         if !requires_key {
             return Ok(None);
         }
         match &self.key {
-            Some(key) if (1..=MAX_KEY_BYTES).contains(&key.len()) => Ok(Some(slice_of(line, key))),
+            Some(key) if (1..=MAX_KEY_BYTES).contains(&key.len()) => {
+                Ok(Some(Bytes::copy_from_slice(key.as_bytes())))
+            }
             _ => Err(RpcError::invalid_params("a request of this class names its unique key")),
         }
     }
@@ -150,15 +148,6 @@
         .map_err(|_| RpcError::invalid_params("no such time"))
 }
 
-/// A string of a line as bytes, which is copied only if the decoder had to replace escape sequences.
-#[expect(clippy::ptr_arg, reason = "whether the text is borrowed from the line decides")]
-fn slice_of(line: &Bytes, text: &Cow<str>) -> Bytes {
-    match text {
-        Cow::Borrowed(text) => line.slice_ref(text.as_bytes()),
-        Cow::Owned(text) => Bytes::copy_from_slice(text.as_bytes()),
-    }
-}
-
 fn is_txn(text: &str) -> bool {
     (1..=MAX_TXN_DIGITS).contains(&text.len()) && text.bytes().all(|byte| byte.is_ascii_hexdigit())
 }
--- a/node/tests/sockets/memory.rs
+++ b/node/tests/sockets/memory.rs
@@ -3,6 +3,8 @@
 
 use std::net::SocketAddr;
 
+use oakwind_fault_harness::wire::STATUS;
+
 use crate::helper::*;
 
 /// The least memory that a deployment gives to a node.
@@ -62,3 +64,28 @@
     limited.assert_memory_was_within_limit();
     drop(clients);
 }
+
+/// Guards against lines that stay in memory for as long as their requests are open, because the ids of the requests are
+/// slices of them.
+#[test]
+fn open_requests_keep_nothing_of_their_lines_but_the_fields_that_are_needed() {
+    const OPEN_REQUESTS: u32 = 32;
+    const PADDING_BYTES: usize = 15_000;
+    let limited = LimitedNode::start();
+    let padding = format!("\"item\":\"{}\",\"content\"", "x".repeat(PADDING_BYTES));
+    let mut clients: Vec<Peer> = (0..100).map(|_| limited.node.client()).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        let padded = |id| {
+            let txn = format!("{number:x}{id:08x}");
+            request(id, &txn, "quote", None, LONG_LIMIT_MS).replace("\"content\"", &padding)
+        };
+        client.send((1..=OPEN_REQUESTS).map(padded).collect::<String>());
+    }
+    for client in &mut clients {
+        // The response to a later message shows that the node has read all of the requests.
+        client.send(STATUS.replace(":1,", ":100,"));
+        while !client.read_line().contains("\"up\"") {}
+    }
+    let peak_kb = limited.node.usage().peak_memory_kb;
+    assert!(peak_kb <= MEMORY_LIMIT_MB * 1024, "the process had {peak_kb} KB");
+}
