Bound the memory of all incomplete messages of a frontend

Cause: the limits held for each connection, and nothing bounded their sum. A line of 16 KB took 36 KB, as its buffer grew by doubling, and idle connections kept the buffer of their longest line.

Where all others are busy, the long message is refused without a promise that it has not run. Long lines get their buffer at once, unused ones are freed.

--- a/node/src/admin.rs
+++ b/node/src/admin.rs
@@ -17,13 +17,18 @@
 use crate::class_registry::ClassRegistry;
 use crate::clock;
 use crate::exchange::Exchange;
-use crate::frontend::connection_limiter::{ConnectionGuard, ConnectionState, MESSAGE_TIMEOUT};
+use crate::frontend::connection_limiter::{
+    ConnectionGuard, ConnectionLimits, ConnectionState, MESSAGE_TIMEOUT,
+};
 use crate::frontend::lingering_close;
 use crate::http::{parse_call, response, Call, Status, MAX_HEAD_BYTES};
 use crate::log;
 
 /// Limit of open connections. A further connection evicts one on which no complete call has arrived yet.
 pub(crate) const MAX_CONNECTIONS: usize = 16;
+/// Limits of the connections. A call is limited to [`MAX_HEAD_BYTES`], so that their buffers need no limit of their own.
+pub(crate) const CONNECTION_LIMITS: ConnectionLimits =
+    ConnectionLimits { connections: MAX_CONNECTIONS, buffer_bytes: MAX_CONNECTIONS * MAX_HEAD_BYTES };
 /// Initial capacity of the read buffer, in bytes.
 const READ_BUFFER_BYTES: usize = 1024;
 /// The `Content-Type` header of all responses.
--- a/node/src/frontend/jsonrpc/connection.rs
+++ b/node/src/frontend/jsonrpc/connection.rs
@@ -20,6 +20,7 @@
 use crate::frontend::connection_limiter::{ConnectionGuard, MESSAGE_TIMEOUT};
 use crate::frontend::lingering_close;
 use crate::frontend::write_backlog::WriteBacklog;
+use crate::log;
 
 /// Maximum number of open requests on one connection.
 const MAX_OPEN_REQUESTS: usize = 32;
@@ -30,6 +31,8 @@
 const MAX_UNWRITTEN_BYTES: usize = 64 * 1024;
 /// Free space that is kept in the read buffer for each read, in bytes.
 const READ_CHUNK_BYTES: usize = 4096;
+/// Size up to which an unused buffer is kept, in bytes.
+const MAX_IDLE_BUFFER_BYTES: usize = 2 * READ_CHUNK_BYTES;
 /// Number of consecutive invalid messages after which a connection is closed, so that a client that sends
 /// them at full speed can't occupy the core.
 const MAX_CONSECUTIVE_ERRORS: u32 = 16;
@@ -142,9 +145,10 @@
         let (mut reader, mut writer) = stream.split();
         let mut input = BytesMut::new();
         while let Some(wake_at) = self.check_deadlines(input.is_empty()).await? {
-            let reading = !self.stops_reading() && self.output.len() < MAX_UNWRITTEN_BYTES;
+            let has_memory = self.limit_buffers(&mut input);
+            let reading = has_memory && !self.stops_reading() && self.output.len() < MAX_UNWRITTEN_BYTES;
             let closes_at_once = self.is_final_check && self.guard.is_evicted();
-            input.reserve(READ_CHUNK_BYTES);
+            reserve_for_read(&mut input);
             tokio::select! {
                 biased;
                 written = writer.write_buf(&mut self.output), if !self.output.is_empty() => {
@@ -187,10 +191,30 @@
         Ok(())
     }
 
+    /// Reports the memory of the buffers, and frees those that are not needed. Returns whether there is memory to read more;
+    /// a long message for which there is none fails.
+    fn limit_buffers(&mut self, input: &mut BytesMut) -> bool {
+        if input.is_empty() || self.stops_reading() {
+            release(input);
+        }
+        if self.output.is_empty() {
+            release(&mut self.output);
+        }
+        let used = input.len() + self.output.len();
+        let has_memory = self.guard.set_buffers(used, input.capacity() + self.output.capacity());
+        if !has_memory && input.len() > READ_CHUNK_BYTES && !self.stops_reading() {
+            log!("frontend: message refused, no memory for long messages: protocol=JSON-RPC");
+            self.fail("no memory for a long message");
+            release(input);
+        }
+        has_memory
+    }
+
     /// Responds with an error, stops reading, and closes once all open requests have their responses.
     fn fail(&mut self, message: &'static str) {
         RpcError::invalid_request(message).without_id().write(&mut self.output);
         self.consecutive_errors += 1;
+        self.message_deadline = None;
         self.closing = Closing::StopReading;
     }
 
@@ -247,3 +271,18 @@
         lines
     }
 }
+
+/// Reserves free space for a read. Once a line is longer than a read it gets its maximum length at once, as a buffer that
+/// grows by and by takes up to twice the memory.
+fn reserve_for_read(input: &mut BytesMut) {
+    let longest = MAX_LINE_BYTES.saturating_sub(input.len());
+    let rest_of_line = if input.len() < READ_CHUNK_BYTES { 0 } else { longest };
+    input.reserve(rest_of_line.max(READ_CHUNK_BYTES));
+}
+
+/// Frees the memory of an unused buffer that is larger than usual.
+fn release(buffer: &mut BytesMut) {
+    if buffer.capacity() > MAX_IDLE_BUFFER_BYTES {
+        *buffer = BytesMut::new();
+    }
+}
--- a/node/src/frontend/uwsgi.rs
+++ b/node/src/frontend/uwsgi.rs
@@ -19,7 +19,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::BytesMut;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -36,8 +35,6 @@
 
 /// Time in which a client must read its response.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
-/// Initial capacity of the read buffer, in bytes.
-const READ_BUFFER_BYTES: usize = 4096;
 /// Maximum number of bytes that one read drops while the client waits for its response.
 const DROPPED_CHUNK_BYTES: usize = 1024;
 /// The tag of the only request of a connection.
@@ -56,9 +53,8 @@
     guard: &ConnectionGuard,
     frontend: &UwsgiFrontend,
 ) -> io::Result<()> {
-    let mut input = BytesMut::with_capacity(READ_BUFFER_BYTES);
     let received = tokio::select! {
-        received = read_request(stream, &mut input) => received?,
+        received = read_request(stream, guard) => received?,
         () = guard.evicted() => return lingering_close(stream, guard).await,
         () = clock::until(clock::now() + MESSAGE_TIMEOUT) => {
             Err(RequestError::BadRequest("the request did not come whole in time"))
@@ -77,6 +73,8 @@
             encode_error(error)
         }
     };
+    // Nothing of the request is held any more.
+    guard.set_buffers(0, 0);
     tokio::select! {
         written = stream.write_all(&response) => written?,
         () = clock::until(clock::now() + WRITE_TIMEOUT) => return Err(io::ErrorKind::TimedOut.into()),
--- a/node/src/frontend/uwsgi/request.rs
+++ b/node/src/frontend/uwsgi/request.rs
@@ -11,9 +11,12 @@
 use super::context::UwsgiFrontend;
 use crate::clock::UnixTime;
 use crate::exchange::Request;
+use crate::frontend::connection_limiter::ConnectionGuard;
 use crate::frontend::is_valid_memory;
 use crate::uwsgi::{PacketHead, Variables, HEAD_BYTES};
 
+/// Initial capacity of the read buffer, in bytes.
+const READ_BUFFER_BYTES: usize = 4096;
 /// Maximum length of the variables in a packet, in bytes.
 const MAX_VARIABLES_BYTES: usize = 16 * 1024;
 /// Maximum length of a body, in bytes.
@@ -37,6 +40,9 @@
     BadRequest(&'static str),
     NotFound,
     TooLarge(&'static str),
+    /// The requests of all connections take too much memory. This does not promise that the request has not run, as its
+    /// key is not known yet.
+    OutOfMemory,
 }
 
 /// A packet that was read completely.
@@ -56,15 +62,20 @@
 /// Reads a packet and its body. A packet or body that is cut off is an I/O error, and nothing is run.
 pub(super) async fn read_request(
     stream: &mut TcpStream,
-    input: &mut BytesMut,
+    guard: &ConnectionGuard,
 ) -> io::Result<Result<ReceivedPacket, RequestError>> {
+    let input = &mut BytesMut::with_capacity(READ_BUFFER_BYTES);
     fill(stream, input, HEAD_BYTES).await?;
     let head = match check_head(input) {
         Ok(head) => head,
         Err(error) => return Ok(Err(error)),
     };
-    fill(stream, input, HEAD_BYTES + head.size).await?;
-    let block = input.split_to(HEAD_BYTES + head.size).freeze().slice(HEAD_BYTES..);
+    let packet_bytes = HEAD_BYTES + head.size;
+    if !guard.set_buffers(packet_bytes, packet_bytes) {
+        return Ok(Err(RequestError::OutOfMemory));
+    }
+    fill(stream, input, packet_bytes).await?;
+    let block = input.split_to(packet_bytes).freeze().slice(HEAD_BYTES..);
     let Some(variables) = Variables::parse(block) else {
         return Ok(Err(RequestError::BadRequest("lengths that do not add up")));
     };
@@ -72,6 +83,10 @@
         Ok(length) => length,
         Err(error) => return Ok(Err(error)),
     };
+    let request_bytes = packet_bytes + length;
+    if !guard.set_buffers(request_bytes, request_bytes) {
+        return Ok(Err(RequestError::OutOfMemory));
+    }
     fill(stream, input, length).await?;
     Ok(Ok(ReceivedPacket { variables, body: input.split_to(length).freeze() }))
 }
--- a/node/src/frontend/uwsgi/response.rs
+++ b/node/src/frontend/uwsgi/response.rs
@@ -24,6 +24,9 @@
     match error {
         RequestError::BadRequest(what) => encode(Status::BAD_REQUEST, "", what.as_bytes()),
         RequestError::NotFound => encode(Status::NOT_FOUND, "", b"no such class"),
+        RequestError::OutOfMemory => {
+            encode(Status::INTERNAL_SERVER_ERROR, "", b"no memory for a long request\n")
+        }
         RequestError::TooLarge(what) => encode(Status::CONTENT_TOO_LARGE, "", what.as_bytes()),
     }
 }
--- a/node/src/server/startup.rs
+++ b/node/src/server/startup.rs
@@ -25,7 +25,7 @@
 use crate::exchange::{
     self, BackendEndpoints, DispatcherEndpoints, Endpoints, Exchange, HandoverState, NodeStatus, StartMode,
 };
-use crate::frontend::connection_limiter::ConnectionLimiter;
+use crate::frontend::connection_limiter::{ConnectionLimiter, ConnectionLimits};
 use crate::frontend::uwsgi::{RequestIds, UwsgiFrontend};
 use crate::frontend::{jsonrpc, uwsgi as uwsgi_frontend};
 use crate::result_store::ResultStore;
@@ -35,6 +35,8 @@
 
 /// Divides the memory limit of the process; the quotient is the memory for stored results.
 const RESULT_MEMORY_DIVISOR: usize = 8;
+/// Divides the memory limit of the process; the quotient is the memory for the buffers of each frontend's connections.
+const BUFFER_MEMORY_DIVISOR: usize = 8;
 /// Divides the connections of a backend; the quotient is the maximum number of idle ones that are kept for
 /// later calls.
 const IDLE_CONNECTION_DIVISOR: usize = 4;
@@ -81,6 +83,8 @@
     let Endpoints { exchange, dispatcher, backend } = exchange::new(mode);
     let capacity = ConnectionCapacity::new(&loaded);
     let Configuration { node: config, uwsgi, result_store, fleet, decision_log } = loaded;
+    let buffer_bytes = config.max_memory_bytes / BUFFER_MEMORY_DIVISOR;
+    let limiter = |connections| ConnectionLimiter::new(ConnectionLimits { connections, buffer_bytes });
     let (address_publisher, upstream_addresses) = watch::channel(config.upstreams.clone());
     let node = Node {
         registry: Rc::new(ClassRegistry::new(config.settings.clone())),
@@ -88,8 +92,8 @@
         uwsgi,
         exchange,
         upstream_addresses,
-        jsonrpc_limiter: ConnectionLimiter::new(capacity.jsonrpc),
-        uwsgi_limiter: ConnectionLimiter::new(capacity.uwsgi),
+        jsonrpc_limiter: limiter(capacity.jsonrpc),
+        uwsgi_limiter: limiter(capacity.uwsgi),
         backend_connections: capacity.per_backend,
         handover_socket,
         is_upgrade,
@@ -128,7 +132,7 @@
         log!("admin: listening: address={}", local_address(&listener));
         let server =
             Rc::new(AdminServer { exchange: self.exchange.clone(), registry: self.registry.clone() });
-        let limiter = ConnectionLimiter::new(admin::MAX_CONNECTIONS);
+        let limiter = ConnectionLimiter::new(admin::CONNECTION_LIMITS);
         let serve = move |stream, guard| admin::serve(stream, guard, server.clone());
         spawn_local(accept_until(std::future::pending(), listener, limiter, serve));
         Ok(())
--- a/node/tests/sockets/memory.rs
+++ b/node/tests/sockets/memory.rs
@@ -65,6 +65,19 @@
     drop(clients);
 }
 
+/// Guards against incomplete requests that together take more memory than the process has, although each of them is within
+/// its own limits.
+#[test]
+fn clients_of_both_frontends_that_stop_within_a_large_request_keep_the_memory_within_its_limit() {
+    let limited = LimitedNode::start();
+    let line = format!("{{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"{}", "x".repeat(16_000));
+    let packet = packet(&vec![("", ""); 4000], &"x".repeat(64 * 1024));
+    let json = connect_clients(limited.node.json, line.as_bytes());
+    let uwsgi = connect_clients(limited.uwsgi, &packet[..packet.len() - 1]);
+    limited.assert_memory_was_within_limit();
+    drop((json, uwsgi));
+}
+
 /// Guards against lines that stay in memory for as long as their requests are open, because the ids of the requests are
 /// slices of them.
 #[test]
