Don't run requests of a client that left before they were read

Cause: a close is read after all that was sent before it. The JSON-RPC frontend submitted what each read brought, and the dispatcher had decided before the next read found the end. Over uwsgi the end was found in time by chance.

Evidence: strace shows that a new connection is read before it is polled, so that the runtime doesn't know of the close, which the system reports with the data.

Change: both frontends ask the runtime whether the client has left before they submit a request; a new connection yields once, so that it is polled first.

--- a/node/src/frontend.rs
+++ b/node/src/frontend.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use futures_util::FutureExt;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest, Ready};
 use tokio::net::TcpStream;
 
 use crate::clock;
@@ -71,6 +71,19 @@
     Ok(())
 }
 
+/// Lets the runtime poll a new connection, so that it knows before the first read whether the client has left already. A
+/// connection is read without being polled when it is new.
+async fn poll_new_connection() {
+    tokio::task::yield_now().await;
+}
+
+/// Whether the client has closed the connection, or its sending half, as far as the runtime knows. What it sent before can
+/// still be read then, but it no longer waits for responses.
+fn has_client_left(stream: &TcpStream) -> bool {
+    let ready = stream.ready(Interest::READABLE).now_or_never();
+    ready.is_some_and(|ready| ready.is_ok_and(Ready::is_read_closed))
+}
+
 /// Whether a request may book this much memory.
 fn is_valid_memory(memory_kb: f64) -> bool {
     memory_kb > 0.0 && memory_kb < MAX_MEMORY_KB
--- a/node/src/frontend/jsonrpc/connection.rs
+++ b/node/src/frontend/jsonrpc/connection.rs
@@ -18,8 +18,8 @@
 use crate::clock::{self, UnixTime};
 use crate::exchange::{Answer, Exchange, NodeStatus, RequestTag, SubmissionId};
 use crate::frontend::connection_limiter::{ConnectionGuard, MESSAGE_TIMEOUT};
-use crate::frontend::lingering_close;
 use crate::frontend::write_backlog::WriteBacklog;
+use crate::frontend::{has_client_left, lingering_close, poll_new_connection};
 use crate::log;
 
 /// Maximum number of open requests on one connection.
@@ -83,6 +83,8 @@
     /// Time by which the first message, or the one that has begun, must be complete.
     message_deadline: Option<UnixTime>,
     consecutive_errors: u32,
+    /// Whether the client has closed the connection, although not all that it sent has been read.
+    client_has_left: bool,
     closing: Closing,
     /// Whether the connection is about to close, unless a last poll of the socket finds input.
     is_final_check: bool,
@@ -98,6 +100,7 @@
     // A withdrawn request may keep its place in the channel for a moment after it is no longer open.
     let (answer_sender, answers) = mpsc::channel(2 * MAX_OPEN_REQUESTS);
     let mut connection = Connection::new(guard, exchange, registry, answer_sender);
+    poll_new_connection().await;
     let ended = connection.run(&mut stream, answers).await;
     // Whatever ended the connection, the client no longer waits for the requests that are still open.
     for request in std::mem::take(&mut connection.open).into_values() {
@@ -135,6 +138,7 @@
             is_proven: false,
             message_deadline: Some(now + MESSAGE_TIMEOUT),
             consecutive_errors: 0,
+            client_has_left: false,
             closing: Closing::No,
             is_final_check: false,
         }
@@ -167,6 +171,7 @@
                     if read? == 0 {
                         return Ok(());
                     }
+                    self.client_has_left |= has_client_left(reader.as_ref());
                     self.process_input(&mut input).await;
                 }
                 // Polled after reading, so that a request that has arrived is served. A client retries a
--- a/node/src/frontend/jsonrpc/connection/requests.rs
+++ b/node/src/frontend/jsonrpc/connection/requests.rs
@@ -68,7 +68,11 @@
         self.submit(id, request).await
     }
 
+    /// Submits a request, unless its client no longer waits for the response.
     async fn submit(&mut self, id: Bytes, request: Request) -> Result<(), ErrorResponse> {
+        if self.client_has_left {
+            return Ok(());
+        }
         let tag = self.next_tag;
         self.next_tag = tag.next();
         let responder = Responder::new(&self.answers, tag);
--- a/node/src/frontend/uwsgi.rs
+++ b/node/src/frontend/uwsgi.rs
@@ -24,7 +24,7 @@
 use tokio::sync::mpsc;
 
 use super::connection_limiter::{ConnectionGuard, ConnectionState, MESSAGE_TIMEOUT};
-use super::lingering_close;
+use super::{has_client_left, lingering_close, poll_new_connection};
 use crate::clock;
 use crate::exchange::{Request, RequestOutcome, RequestTag, Responder};
 use crate::log;
@@ -53,6 +53,7 @@
     guard: &ConnectionGuard,
     frontend: &UwsgiFrontend,
 ) -> io::Result<()> {
+    poll_new_connection().await;
     let received = tokio::select! {
         received = read_request(stream, guard) => received?,
         () = guard.evicted() => return lingering_close(stream, guard).await,
@@ -62,6 +63,9 @@
     };
     guard.set_state(ConnectionState::Busy);
     let target = received.and_then(|packet| frontend.resolve(&packet, clock::now()));
+    if has_client_left(stream) {
+        return Ok(());
+    }
     let response = match target {
         Ok(Target::Health) => encode_health(frontend.exchange.status().borrow().healthy()),
         Ok(Target::Run(request)) => match run_request(stream, frontend, request).await? {
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -14,6 +14,7 @@
 mod memory;
 
 mod decision_log;
+mod departures;
 mod reload;
 mod result_store;
 mod upgrade;
