Don't run an at-most-once request again when it comes again under its id

Bookings, which carry a key, ran once.

Cause: only keys were remembered after a run, and only keys were handed over.

Change: such a run is recorded in the idempotency table under a key made of its txn, for its class's deadline or window. The same txn gets the first result or fails. The table, and the starts and ends of later runs, go to a successor, which buffers such requests until it has the table. The run gate's stores are not involved.

--- a/node/src/dispatcher.rs
+++ b/node/src/dispatcher.rs
@@ -8,13 +8,15 @@
 //! table and passes it to the admission module; `actions` carries out the decisions; `runs` asks the run
 //! gate, the interface to the stores of keys on disk and on other nodes, to authorize the run, and sends it
 //! to the backend; `calls` makes the calls that the run needs; `runs` completes the run and answers its
-//! client and every attempt that waits for the same key. `handover` transfers the table to another process of
+//! client and every attempt that waits for the same key. `at_most_once` does the same for requests without a key that
+//! must not run twice. `handover` transfers the table to another process of
 //! this node.
 //!
 //! The dispatcher guarantees that every submission is answered at most once, and that no request runs twice
 //! while its key is in the idempotency table.
 
 mod actions;
+mod at_most_once;
 mod attempts;
 mod calls;
 mod handover;
--- a/node/src/dispatcher/runs.rs
+++ b/node/src/dispatcher/runs.rs
@@ -16,6 +16,7 @@
 use oakwind_admission::{Event, Outcome as AdmissionOutcome, RequestId};
 use oakwind_fleet::audit::decision_record::Decision;
 
+use super::at_most_once::is_at_most_once_key;
 use super::attempts::Phase;
 use super::idempotency::AssignedKey;
 use super::Dispatcher;
@@ -46,18 +47,19 @@
         }
         let run = self.keyed_run(id);
         match self.run_gate.authorize_run(run) {
-            Authorization::Granted => self.send_to_backend(&request),
+            Authorization::Granted => self.send_to_backend(id, &request),
             Authorization::Denied => self.run_ended(&request.txn, Completion::NeverStarted),
             // A gate event with the decision follows.
             Authorization::Pending => {}
         }
     }
 
-    fn send_to_backend(&mut self, request: &Rc<Request>) {
+    fn send_to_backend(&mut self, id: RequestId, request: &Rc<Request>) {
         if self.endpoints.runs.try_send(RunCommand::Run(request.clone())).is_err() {
             log!("dispatcher: run not started, queue of run commands is full: txn={}", request.txn);
             return self.run_ended(&request.txn, Completion::NeverStarted);
         }
+        self.record_at_most_once_run(id, request);
         self.log_decision(Decision::Run, request);
         self.endpoints.metrics.run_dispatched(request.class);
     }
@@ -199,7 +201,7 @@
         let Some(attempt) = self.attempts.get(id) else { return };
         let request = attempt.request.clone();
         if granted && attempt.responder.is_some() {
-            return self.send_to_backend(&request);
+            return self.send_to_backend(id, &request);
         }
         if granted {
             // The client has been answered or has cancelled, so the result of the run is not needed.
@@ -248,9 +250,11 @@
         self.attempts.remove(id);
     }
 
-    /// Returns the description of an attempt's run for the run gate; `None` if the attempt holds no key.
+    /// Returns the description of an attempt's run for the run gate; `None` if the attempt holds no key of a client.
     pub(super) fn keyed_run(&self, id: RequestId) -> Option<KeyedRun> {
-        let AssignedKey { key, body_digest, expires_at } = self.idempotency.assigned_key(id)?;
+        let assigned =
+            self.idempotency.assigned_key(id).filter(|assigned| !is_at_most_once_key(&assigned.key));
+        let AssignedKey { key, body_digest, expires_at } = assigned?;
         let request = self.attempts.get(id).map(|attempt| attempt.request.clone());
         Some(KeyedRun { id, request, key, body_digest, expires_at })
     }
--- a/node/src/dispatcher/submission.rs
+++ b/node/src/dispatcher/submission.rs
@@ -41,16 +41,18 @@
         }
         let now = clock::now();
         let key = self.dedup_key(&request);
-        if key.is_some() && self.status().awaiting_state {
+        let at_most_once_key = self.at_most_once_key(&request);
+        if (key.is_some() || at_most_once_key.is_some()) && self.status().awaiting_state {
             return self.buffer_until_state_received(submission);
         }
         if self.admission.is_none() {
             let outcome = self.outcome_before_start(key.as_ref(), &request, now);
             return self.answer_submission(submission, outcome);
         }
-        match key {
-            Some(key) => self.submit_keyed(submission, &request, key, now),
-            None => self.open_attempt(submission, None, now),
+        match (key, at_most_once_key) {
+            (Some(key), _) => self.submit_keyed(submission, &request, key, now),
+            (None, Some(key)) => self.submit_at_most_once(submission, &request, &key),
+            (None, None) => self.open_attempt(submission, None, now),
         }
     }
 
@@ -105,7 +107,7 @@
     }
 
     /// Opens an attempt and reports its arrival to the admission module. `repeats` is the attempt that holds its key.
-    fn open_attempt(&mut self, submission: Submission, repeats: Option<RequestId>, now: UnixTime) {
+    pub(super) fn open_attempt(&mut self, submission: Submission, repeats: Option<RequestId>, now: UnixTime) {
         let Submission { request, id: submission_id, responder } = submission;
         let id = self.attempts.allocate_id();
         self.admission_events.push(Event::Arrived(Arrival {
