--- a/node/tests/sockets/floods.rs
+++ b/node/tests/sockets/floods.rs
@@ -51,6 +51,29 @@
     });
 }
 
+/// Guards against tables that grow with every name that a client sends, and against a client that is known to the node and
+/// may therefore send invalid messages without an end.
+#[test]
+fn messages_under_ever_new_names_from_a_known_client_use_bounded_memory_and_delay_no_others() {
+    const MESSAGES: u32 = 200_000;
+    let (node, _vm, mut link) = Node::with_interpreter("", None);
+    while node.health() != "up" {}
+    let before = node.usage();
+    let mut known = node.client();
+    known.send("{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"status\"}\n");
+    let flood = spawn(move || {
+        // Notifications get no responses.
+        let message = |name| format!("{{\"jsonrpc\":\"2.0\",\"method\":\"{name:x}{}\"}}\n", "m".repeat(200));
+        (0..MESSAGES).for_each(|name| known.send(message(name)));
+        known
+    });
+    assert_other_client_is_served(&node, &mut link, 1);
+    let mut known = flood.join().unwrap();
+    assert!(known.read_line().contains("\"up\""));
+    assert!(node.usage().memory_kb < before.memory_kb + MAX_ADDED_KB);
+    assert_other_client_is_served(&node, &mut link, 2);
+}
+
 #[test]
 fn idle_clients_that_use_up_the_descriptors_block_no_others_while_the_membership_service_is_down() {
     let (vm, index, members) = (Server::new(), Server::new(), bind_udp("127.0.0.1:0"));
