Hand over that keys were lost, so that a further upgrade does not run them again

Cause: a process hands over its table, which doesn't say that keys were lost or until when they may come again.

Change: that time is handed over with the table, as the record of a reserved key, as processes of earlier releases close the connection on lines that they don't know and take this one for a key that has failed. Frontends refuse keys that begin with a zero byte.

Test: endings::a_further_successor_learns_that_keys_were_lost fails without the change (the request runs), and golden bytes.

--- a/node/src/dispatcher/at_most_once.rs
+++ b/node/src/dispatcher/at_most_once.rs
@@ -10,10 +10,10 @@
 use crate::clock;
 use crate::exchange::{Request, Submission};
 use crate::log;
-use crate::outcome::{IdempotencyKey, RequestOutcome, RunState};
+use crate::outcome::{IdempotencyKey, RequestOutcome, RunState, RESERVED_KEY_START};
 
-/// Distinguishes the keys of this module from those of clients.
-const KEY_PREFIX: &[u8] = b"\0once\0";
+/// Distinguishes the keys of this module from those of clients and from other reserved ones.
+const KEY_PREFIX: &[u8] = &[RESERVED_KEY_START, b'o', b'n', b'c', b'e', RESERVED_KEY_START];
 
 /// Whether this key stands for the id of a request that runs at most once.
 pub(super) fn is_at_most_once_key(key: &IdempotencyKey) -> bool {
--- a/node/src/dispatcher/handover.rs
+++ b/node/src/dispatcher/handover.rs
@@ -85,7 +85,8 @@
         let Some(successor) = &mut self.handover.successor else { return };
         successor.stage = HandoverStage::Transferred;
         self.release_stores();
-        self.send_to_successor(self.idempotency.snapshot());
+        let lost_keys_expire_at = self.handover.lost_keys_expire_at;
+        self.send_to_successor(HandoverState { lost_keys_expire_at, ..self.idempotency.snapshot() });
     }
 
     /// Releases the stores to the successor. Queued attempts may still run here, so their keys are stored as started.
@@ -105,9 +106,8 @@
             return;
         };
         let record = IdempotencyRecord { key, body_digest, expires_at, state };
-        // The successor reads the seed only from the full table.
-        let digest_seed = 0;
-        self.send_to_successor(HandoverState { digest_seed, records: vec![record] });
+        // The successor reads everything else only from the full table.
+        self.send_to_successor(HandoverState { records: vec![record], ..HandoverState::default() });
     }
 
     fn send_to_successor(&mut self, state: HandoverState) {
@@ -125,6 +125,7 @@
         if is_full_table {
             self.idempotency.set_digest_seed(state.digest_seed);
             log!("handover: table received from the predecessor: keys={}", state.records.len());
+            self.handover.register_lost_keys(state.lost_keys_expire_at);
         }
         for record in state.records {
             if is_full_table {
@@ -260,7 +261,7 @@
     /// keys that are not in the table fail, as any of them may have run. Returns how long that takes.
     fn register_lost_keys(&mut self) -> Duration {
         let window = self.settings.max_idempotency_window();
-        self.handover.lost_keys_expire_at = clock::now() + window;
+        self.handover.register_lost_keys(clock::now() + window);
         window
     }
 
--- a/node/src/dispatcher/handover_progress.rs
+++ b/node/src/dispatcher/handover_progress.rs
@@ -80,6 +80,11 @@
         self.successor.as_ref().is_some_and(Successor::lacks_state)
     }
 
+    /// Registers that keys were lost that have expired at this time, unless others expire later.
+    pub(super) fn register_lost_keys(&mut self, expire_at: UnixTime) {
+        self.lost_keys_expire_at = self.lost_keys_expire_at.max(expire_at);
+    }
+
     /// Whether an attempt that was received at this time may repeat a request whose key was lost with another process.
     pub(super) fn may_repeat_lost_key(&self, received_at: UnixTime) -> bool {
         received_at < self.lost_keys_expire_at
--- a/node/src/dispatcher/idempotency.rs
+++ b/node/src/dispatcher/idempotency.rs
@@ -108,6 +108,7 @@
         HandoverState {
             digest_seed: self.digest_seed,
             records: self.entries.iter().map(|(key, entry)| entry.to_record(key)).collect(),
+            ..HandoverState::default()
         }
     }
 
--- a/node/src/dispatcher/tests/handover.rs
+++ b/node/src/dispatcher/tests/handover.rs
@@ -10,13 +10,20 @@
         node.submit(2, b"new", b"body").await;
         tokio::task::yield_now().await;
         assert!(node.has_no_run_command());
-        let table =
-            HandoverState { digest_seed: DIGEST_SEED, records: vec![predecessor_record(RunState::Pending)] };
+        let table = HandoverState {
+            digest_seed: DIGEST_SEED,
+            records: vec![predecessor_record(RunState::Pending)],
+            ..HandoverState::default()
+        };
         node.exchange.receive_state(table).await;
         assert_eq!(node.next_run().await.txn, txn(2));
         let result = RunState::Succeeded(Bytes::from_static(b"result"));
         node.exchange
-            .receive_state(HandoverState { digest_seed: 0, records: vec![predecessor_record(result)] })
+            .receive_state(HandoverState {
+                digest_seed: 0,
+                records: vec![predecessor_record(result)],
+                ..HandoverState::default()
+            })
             .await;
         assert_eq!(node.next_answer().await, (1, served(b"result")));
         assert!(node.has_no_run_command());
@@ -52,7 +59,11 @@
         status.wait_for(|status| status.draining.is_some()).await.unwrap();
         assert!(!status.borrow().drained);
         let result = RunState::Succeeded(Bytes::from_static(b"result"));
-        let table = HandoverState { digest_seed: DIGEST_SEED, records: vec![predecessor_record(result)] };
+        let table = HandoverState {
+            digest_seed: DIGEST_SEED,
+            records: vec![predecessor_record(result)],
+            ..HandoverState::default()
+        };
         node.exchange.receive_state(table).await;
         assert_eq!(node.next_answer().await, (1, served(b"result")));
         status.wait_for(|status| status.drained).await.unwrap();
@@ -68,8 +79,11 @@
 fn unreported_runs_of_a_predecessor_count_as_failed_once_it_has_ended() {
     run_test(async {
         let mut node = Node::start(true).await;
-        let table =
-            HandoverState { digest_seed: DIGEST_SEED, records: vec![predecessor_record(RunState::Pending)] };
+        let table = HandoverState {
+            digest_seed: DIGEST_SEED,
+            records: vec![predecessor_record(RunState::Pending)],
+            ..HandoverState::default()
+        };
         node.exchange.receive_state(table).await;
         node.submit(1, b"known", b"body").await;
         node.exchange.predecessor_done().await;
--- a/node/src/dispatcher/tests/stores.rs
+++ b/node/src/dispatcher/tests/stores.rs
@@ -46,7 +46,8 @@
 async fn start_with_open_store(folder: &TestFolder) -> Node {
     let mut store = closed_store(folder);
     let recovered = store.open().unwrap();
-    let recovered = HandoverState { digest_seed: recovered.seed, records: recovered.keys };
+    let recovered =
+        HandoverState { digest_seed: recovered.seed, records: recovered.keys, ..HandoverState::default() };
     let mut node = Node::start_with_run_gate(false, RunGate::new(Some(store), None), Some(recovered));
     node.exchange.report(BackendEvent::Up { cold: false }).await;
     node.submit_and_start(1, b"own", b"body").await;
@@ -153,7 +154,7 @@
         let mut node = Node::start_with_run_gate(true, run_gate, None);
         node.exchange.report(BackendEvent::Up { cold: false }).await;
         let digest_seed = closed_store_seed(&folder).await;
-        node.exchange.receive_state(HandoverState { digest_seed, records: Vec::new() }).await;
+        node.exchange.receive_state(HandoverState { digest_seed, ..HandoverState::default() }).await;
         let (updates, mut transferred) = mpsc::channel(8);
         node.exchange.begin_handover(updates).await;
         transferred.recv().await.unwrap();
--- a/node/src/exchange/event.rs
+++ b/node/src/exchange/event.rs
@@ -53,6 +53,8 @@
     pub(crate) digest_seed: u64,
     /// The records of all keys, or of the keys that changed.
     pub(crate) records: Vec<IdempotencyRecord>,
+    /// When the keys that earlier processes of the node have lost have expired; zero if none were lost.
+    pub(crate) lost_keys_expire_at: UnixTime,
 }
 
 /// An event that a backend reports.
--- a/node/src/frontend.rs
+++ b/node/src/frontend.rs
@@ -14,6 +14,7 @@
 use tokio::net::TcpStream;
 
 use crate::clock;
+use crate::outcome::RESERVED_KEY_START;
 use connection_limiter::{ConnectionGuard, ConnectionState};
 
 /// Time for which a connection is still read from after its last response.
@@ -84,6 +85,11 @@
     ready.is_some_and(|ready| ready.is_ok_and(Ready::is_read_closed))
 }
 
+/// Whether a client may use this idempotency key, as far as its length permits it.
+fn is_client_key(key: &[u8]) -> bool {
+    key.first().is_some_and(|first| *first != RESERVED_KEY_START)
+}
+
 /// Whether a request may book this much memory.
 fn is_valid_memory(memory_kb: f64) -> bool {
     memory_kb > 0.0 && memory_kb < MAX_MEMORY_KB
--- a/node/src/frontend/jsonrpc/request.rs
+++ b/node/src/frontend/jsonrpc/request.rs
@@ -13,7 +13,7 @@
 use crate::class_registry::ClassRegistry;
 use crate::clock::{self, UnixTime};
 use crate::exchange::Request;
-use crate::frontend::is_valid_memory;
+use crate::frontend::{is_client_key, is_valid_memory};
 
 /// Maximum length of a body, in bytes.
 const MAX_BODY_BYTES: usize = 2 * 1024;
@@ -91,7 +91,7 @@
             return Ok(None);
         }
         match &self.key {
-            Some(key) if (1..=MAX_KEY_BYTES).contains(&key.len()) => {
+            Some(key) if key.len() <= MAX_KEY_BYTES && is_client_key(key.as_bytes()) => {
                 Ok(Some(Bytes::copy_from_slice(key.as_bytes())))
             }
             _ => Err(RpcError::invalid_params("a request of this class names its unique key")),
--- a/node/src/frontend/uwsgi/request.rs
+++ b/node/src/frontend/uwsgi/request.rs
@@ -12,7 +12,7 @@
 use crate::clock::UnixTime;
 use crate::exchange::Request;
 use crate::frontend::connection_limiter::ConnectionGuard;
-use crate::frontend::is_valid_memory;
+use crate::frontend::{is_client_key, is_valid_memory};
 use crate::uwsgi::{PacketHead, Variables, HEAD_BYTES};
 
 /// Initial capacity of the read buffer, in bytes.
@@ -161,7 +161,7 @@
         if !self.registry.requires_key(class) {
             return Ok(None);
         }
-        let Some(key) = variables.get("HTTP_IDEMPOTENCY_KEY").filter(|key| !key.is_empty()) else {
+        let Some(key) = variables.get("HTTP_IDEMPOTENCY_KEY").filter(|key| is_client_key(key)) else {
             return Err(RequestError::BadRequest("a request of this class needs an Idempotency-Key"));
         };
         if key.len() > MAX_KEY_BYTES {
--- a/node/src/handover.rs
+++ b/node/src/handover.rs
@@ -10,6 +10,7 @@
 //! | successor | `PASSED` | a further process has taken over from the successor |
 //! | predecessor | `SEED HEX` | the seed of body digests |
 //! | predecessor | `KEY DIGEST EXPIRY STATE KEY-LENGTH LENGTH` | an idempotency key; the key and its result follow, `LENGTH` bytes in total |
+//! | predecessor | `KEY` with the key `\0lost` | keys were lost with an earlier process, and have expired at `EXPIRY` |
 //! | predecessor | `ALL` | the table is complete; each later `KEY` reports how a run ended |
 //!
 //! No key runs twice, whichever process receives its attempts: after sending its table the
--- a/node/src/handover/message.rs
+++ b/node/src/handover/message.rs
@@ -4,9 +4,10 @@
 
 use bytes::{Bytes, BytesMut};
 
+use crate::clock::UnixTime;
 use crate::hexadecimal;
 use crate::line_codec::{self, Message, ProtocolError, MAX_BODY};
-use crate::outcome::{BodyDigest, IdempotencyRecord, RunState};
+use crate::outcome::{BodyDigest, IdempotencyRecord, RunState, RESERVED_KEY_START};
 
 /// The successor's report that it waits until it can serve.
 pub(super) const STAND_BY: &[u8] = b"STANDBY\r\n";
@@ -18,6 +19,8 @@
 /// Time limit for the successor to send its first line after it connected. The predecessor also waits this long
 /// after it failed to accept a connection.
 pub(super) const REPLY_TIMEOUT: Duration = Duration::from_secs(2);
+/// The reserved key whose record states until when keys that were lost may come again.
+const LOST_KEYS: &[u8] = &[RESERVED_KEY_START, b'l', b'o', b's', b't'];
 /// Length from which a line of the successor is not read on, in bytes.
 const MAX_LINE_BYTES: usize = 64;
 
@@ -59,6 +62,8 @@
     DigestSeed(u64),
     /// The state of one key.
     Record(IdempotencyRecord),
+    /// Keys were lost with an earlier process; the last of them has expired at this time.
+    LostKeys { expire_at: UnixTime },
     /// The end of the table; later records report how runs ended.
     TableComplete,
 }
@@ -71,7 +76,10 @@
     };
     let decoded = match &message.field(0)[..] {
         b"SEED" => PredecessorMessage::DigestSeed(hexadecimal(&message)?),
-        b"KEY" => PredecessorMessage::Record(decode_record(&message)?),
+        b"KEY" => match decode_record(&message)? {
+            lost if lost.key == LOST_KEYS => PredecessorMessage::LostKeys { expire_at: lost.expires_at },
+            record => PredecessorMessage::Record(record),
+        },
         b"ALL" => PredecessorMessage::TableComplete,
         _ => return Err(message.protocol_error()),
     };
@@ -112,10 +120,22 @@
             line_codec::encode(output, &[b"SEED", seed.as_bytes()], None);
         }
         PredecessorMessage::Record(record) => encode_record(output, record),
+        PredecessorMessage::LostKeys { expire_at } => encode_record(output, &lost_keys_record(*expire_at)),
         PredecessorMessage::TableComplete => line_codec::encode(output, &[b"ALL"], None),
     }
 }
 
+/// The record that stands for lost keys. A successor of an earlier release takes it for that of a key that has failed,
+/// which no client uses.
+fn lost_keys_record(expire_at: UnixTime) -> IdempotencyRecord {
+    IdempotencyRecord {
+        key: Bytes::from_static(LOST_KEYS),
+        body_digest: BodyDigest(0),
+        expires_at: expire_at,
+        state: RunState::Failed,
+    }
+}
+
 fn encode_record(output: &mut BytesMut, record: &IdempotencyRecord) {
     let IdempotencyRecord { key, body_digest, expires_at, state } = record;
     let (word, result) = match state {
--- a/node/src/handover/predecessor.rs
+++ b/node/src/handover/predecessor.rs
@@ -225,6 +225,10 @@
     if is_table {
         message::encode(&mut output, &PredecessorMessage::DigestSeed(update.digest_seed));
     }
+    if !update.lost_keys_expire_at.is_zero() {
+        let lost = PredecessorMessage::LostKeys { expire_at: update.lost_keys_expire_at };
+        message::encode(&mut output, &lost);
+    }
     for record in update.records {
         message::encode(&mut output, &PredecessorMessage::Record(record));
     }
--- a/node/src/handover/successor.rs
+++ b/node/src/handover/successor.rs
@@ -83,6 +83,7 @@
             match message {
                 PredecessorMessage::DigestSeed(seed) => self.state.digest_seed = seed,
                 PredecessorMessage::Record(record) => self.state.records.push(record),
+                PredecessorMessage::LostKeys { expire_at } => self.state.lost_keys_expire_at = expire_at,
                 PredecessorMessage::TableComplete => self.table_complete = true,
             }
         }
@@ -98,7 +99,7 @@
         }
         self.table_passed = true;
         let records = std::mem::take(&mut self.state.records);
-        Some(HandoverState { digest_seed: self.state.digest_seed, records })
+        Some(HandoverState { records, ..self.state })
     }
 }
 
--- a/node/src/handover/tests/golden.rs
+++ b/node/src/handover/tests/golden.rs
@@ -108,6 +108,16 @@
     assert!(input.is_empty());
 }
 
+/// A successor of an earlier release takes it for the record of a key that has failed.
+#[test]
+fn lost_keys_are_the_record_of_a_reserved_key() {
+    let message = PredecessorMessage::LostKeys { expire_at: Duration::from_millis(1_764_576_000_127) };
+    let mut bytes = BytesMut::new();
+    encode(&mut bytes, &message);
+    assert_eq!(&bytes[..], b"KEY 0 1764576000127 failed 5 5\r\n\0lost\r\n");
+    assert_eq!(decode(&mut bytes).unwrap(), Some(message));
+}
+
 #[test]
 fn a_result_too_long_for_a_message_is_sent_as_a_failure() {
     // The key and the result together are limited to 256 KiB.
@@ -161,12 +171,22 @@
             successor.write_all(&bytes(TAKE)).await.unwrap();
             let DispatcherEvent::BeginHandover(updates) = next_event(&mut dispatcher).await else { panic!() };
             updates
-                .send(HandoverState { digest_seed: DIGEST_SEED, records: vec![open(), done()] })
+                .send(HandoverState {
+                    digest_seed: DIGEST_SEED,
+                    records: vec![open(), done()],
+                    ..HandoverState::default()
+                })
                 .await
                 .unwrap();
             assert_eq!(read_hex(&mut successor, &whole_table()).await, whole_table());
-            updates.send(HandoverState { digest_seed: 0, records: vec![failed()] }).await.unwrap();
-            updates.send(HandoverState { digest_seed: 0, records: vec![free()] }).await.unwrap();
+            updates
+                .send(HandoverState { digest_seed: 0, records: vec![failed()], ..HandoverState::default() })
+                .await
+                .unwrap();
+            updates
+                .send(HandoverState { digest_seed: 0, records: vec![free()], ..HandoverState::default() })
+                .await
+                .unwrap();
             assert_eq!(read_hex(&mut successor, &[FAILED, FREE].concat()).await, [FAILED, FREE].concat());
             successor.write_all(&bytes(PASSED)).await.unwrap();
             (successor, updates)
@@ -281,7 +301,11 @@
             third.write_all(&bytes(TAKE)).await.unwrap();
             let DispatcherEvent::BeginHandover(updates) = next_event(&mut dispatcher).await else { panic!() };
             assert_eq!(standby.read(&mut [0]).await.unwrap(), 0);
-            let table = HandoverState { digest_seed: DIGEST_SEED, records: vec![open(), done()] };
+            let table = HandoverState {
+                digest_seed: DIGEST_SEED,
+                records: vec![open(), done()],
+                ..HandoverState::default()
+            };
             updates.send(table).await.unwrap();
             assert_eq!(read_hex(&mut third, &whole_table()).await, whole_table());
             assert!(matches!(next_event(&mut dispatcher).await, DispatcherEvent::UpdateWritten));
@@ -306,14 +330,21 @@
             let DispatcherEvent::SuccessorStandsBy(updates) = next_event(&mut dispatcher).await else {
                 panic!()
             };
-            let table = HandoverState { digest_seed: DIGEST_SEED, records: vec![open(), done()] };
+            let table = HandoverState {
+                digest_seed: DIGEST_SEED,
+                records: vec![open(), done()],
+                ..HandoverState::default()
+            };
             updates.send(table).await.unwrap();
             assert_eq!(read_hex(&mut successor, &whole_table()).await, whole_table());
             assert!(matches!(next_event(&mut dispatcher).await, DispatcherEvent::UpdateWritten));
             successor.write_all(&bytes(TAKE)).await.unwrap();
             let DispatcherEvent::BeginHandover(same) = next_event(&mut dispatcher).await else { panic!() };
             assert!(same.same_channel(&updates));
-            updates.send(HandoverState { digest_seed: 0, records: vec![failed()] }).await.unwrap();
+            updates
+                .send(HandoverState { digest_seed: 0, records: vec![failed()], ..HandoverState::default() })
+                .await
+                .unwrap();
             assert_eq!(read_hex(&mut successor, FAILED).await, FAILED);
             (updates, same)
         };
--- a/node/src/outcome.rs
+++ b/node/src/outcome.rs
@@ -16,6 +16,9 @@
 /// between two attempts and the request must not run a second time.
 pub(crate) type IdempotencyKey = Bytes;
 
+/// First byte of the keys that the node makes itself. Frontends refuse keys of clients that begin with it.
+pub(crate) const RESERVED_KEY_START: u8 = 0;
+
 /// Digest of a request's body, computed with the seed of the process that first received its key.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct BodyDigest(pub(crate) u64);
--- a/node/src/run_gate.rs
+++ b/node/src/run_gate.rs
@@ -269,7 +269,11 @@
             StoreEvent::Opened(recovered) => {
                 let store = self.store.as_mut()?;
                 store.uncertain_keys = recovered.uncertain_keys;
-                let state = HandoverState { digest_seed: recovered.seed, records: recovered.keys };
+                let state = HandoverState {
+                    digest_seed: recovered.seed,
+                    records: recovered.keys,
+                    ..HandoverState::default()
+                };
                 // With `KeySource::Predecessor` the predecessor has transferred these keys, and newer ones as well.
                 (store.key_source == KeySource::Store).then_some(GateEvent::Recovered(state))
             }
--- a/node/src/server/startup.rs
+++ b/node/src/server/startup.rs
@@ -226,7 +226,11 @@
             return Ok(StartingStore { store: Some(store), recovered: None });
         }
         let recovered = store.open().map_err(StartupError::ResultStore)?;
-        let recovered = HandoverState { digest_seed: recovered.seed, records: recovered.keys };
+        let recovered = HandoverState {
+            digest_seed: recovered.seed,
+            records: recovered.keys,
+            ..HandoverState::default()
+        };
         Ok(StartingStore { store: Some(store), recovered: Some(recovered) })
     }
 
--- a/node/tests/sockets/endings.rs
+++ b/node/tests/sockets/endings.rs
@@ -194,6 +194,27 @@
     assert_eq!(link.next_run().0, "a4", "requests without a key are served");
 }
 
+/// Guards against bookings that run a second time at a third process, which got the empty table of a second one and not
+/// that the keys of the first were lost.
+#[test]
+fn a_further_successor_learns_that_keys_were_lost() {
+    let fixture = UpgradeFixture::new();
+    let (mut second, _vm, _link, predecessor) = start_successor(&fixture, |text| text);
+    drop(predecessor);
+    second.wait_for_log("handover: keys were lost with the predecessor");
+    let (mut third, mut link) = fixture.start();
+    third.wait_for_log("handover: completed");
+    second.terminate();
+    second.assert_clean_exit();
+    let mut client = third.client();
+    client.request(1, "a1", Some("lost"), LONG_LIMIT_MS);
+    assert!(client.read_line().contains("\"id\":1,\"error\":{\"code\":-32000"), "the key may have run");
+    let uwsgi = fixture.uwsgi_request("lost").read_to_end();
+    assert!(uwsgi.starts_with("HTTP/1.1 500 "), "over uwsgi as well");
+    client.request(2, "a2", None, LONG_LIMIT_MS);
+    assert_eq!(link.next_run().0, "a2", "requests without a key are served");
+}
+
 #[test]
 fn a_shutdown_notice_before_the_keys_are_handed_over_leaves_no_attempt_without_a_response() {
     let fixture = UpgradeFixture::new();
--- a/node/tests/sockets/jsonrpc.rs
+++ b/node/tests/sockets/jsonrpc.rs
@@ -276,3 +276,17 @@
     assert!((0..40).all(|_| client.read_line().contains("-32601")));
     assert_eq!(link.next_run().0, "a2");
 }
+
+/// Guards against a client that names a record that the node makes itself, such as that of lost keys.
+#[test]
+fn keys_that_begin_with_a_zero_byte_are_refused_by_both_frontends() {
+    let (mut node, _vm, mut link) = Node::with_interpreter("", Some(UWSGI));
+    let mut client = node.client();
+    client.request(1, "a1", Some("\\u0000lost"), LONG_LIMIT_MS);
+    assert!(client.read_line().contains("\"id\":1,\"error\":{\"code\":-32602"));
+    let mut uwsgi = Peer::connect(node.uwsgi_address());
+    uwsgi.send(packet(&[("PATH_INFO", "/book"), ("HTTP_IDEMPOTENCY_KEY", "\0lost")], "body"));
+    assert!(uwsgi.read_to_end().starts_with("HTTP/1.1 400 "));
+    client.request(2, "a2", Some("lost"), LONG_LIMIT_MS);
+    assert_eq!(link.next_run().0, "a2");
+}
