Keep expired keys until the attempts from within their windows have been read

Cause: an expired key was kept for late reads for 8 s, whatever the deadlines are, and after a standstill the first wake-up removed keys by its own time, before any socket was read.

Change: a key is kept for the longest deadline and 1 s after it expired, for 8 s at least; a process that finds over 250 ms between two batches removes none for 1 s. Cost: with deadlines of up to 7 s nothing changes, with 9.2 s keys are kept 2.2 s longer, at up to 512 bytes and a result each.

--- a/node/src/dispatcher.rs
+++ b/node/src/dispatcher.rs
@@ -22,6 +22,7 @@
 mod handover;
 mod handover_progress;
 mod idempotency;
+mod late_reads;
 mod runs;
 mod submission;
 mod timers;
@@ -48,6 +49,7 @@
 use attempts::{Attempt, AttemptTable, Phase, TIMEOUT_MARGIN};
 use handover_progress::HandoverProgress;
 use idempotency::IdempotencyTable;
+use late_reads::LateReads;
 use timers::Timers;
 
 /// Time until the next wake-up when no timer, drain or handover step is scheduled.
@@ -79,6 +81,7 @@
     actions: Vec<Action>,
     attempts: AttemptTable,
     idempotency: IdempotencyTable,
+    late_reads: LateReads,
     timers: Timers,
     handover: HandoverProgress,
     run_gate: RunGate,
@@ -100,6 +103,7 @@
         max_result_bytes: usize,
     ) -> Self {
         let awaits_predecessor = endpoints.status.borrow().awaiting_state;
+        let late_reads = LateReads::new(&settings.settings);
         Dispatcher {
             endpoints,
             settings,
@@ -111,6 +115,7 @@
             actions: Vec::new(),
             attempts: AttemptTable::default(),
             idempotency: IdempotencyTable::new(max_result_bytes),
+            late_reads,
             timers: Timers::default(),
             handover: HandoverProgress::new(awaits_predecessor.then_some(KeySource::Predecessor)),
             run_gate: RunGate::default(),
@@ -198,7 +203,9 @@
                 self.handle(event);
             }
         }
-        self.idempotency.sweep(now);
+        if let Some(expired_before) = self.late_reads.removable_before(now) {
+            self.idempotency.sweep(now, expired_before);
+        }
         self.transfer_state(now);
         self.update_drain_status(now);
     }
@@ -300,6 +307,7 @@
     fn reconfigure(&mut self, settings: NamedSettings, digest: &str) {
         self.call_admission(clock::now());
         self.settings = settings;
+        self.late_reads.follow_settings(&self.settings.settings);
         if let Some(decision_log) = &self.decision_log {
             decision_log.set_settings_digest(digest.to_owned());
         }
--- a/node/src/dispatcher/idempotency.rs
+++ b/node/src/dispatcher/idempotency.rs
@@ -16,8 +16,7 @@
 use crate::clock::UnixTime;
 use crate::exchange::HandoverState;
 use crate::outcome::{
-    digest, BodyDigest, IdempotencyKey, IdempotencyRecord, RunState, StoredOutcome, LATE_READ_GRACE,
-    MAX_RESULT_BYTES,
+    digest, BodyDigest, IdempotencyKey, IdempotencyRecord, RunState, StoredOutcome, MAX_RESULT_BYTES,
 };
 use entry::Entry;
 
@@ -55,8 +54,7 @@
     pub(crate) outcome: StoredOutcome,
 }
 
-/// The entries of all keys until [`LATE_READ_GRACE`] after they expire, or until their run has ended if that
-/// is later.
+/// The entries of all keys until some time after they expire, or until their run has ended if that is later.
 #[derive(Debug, Default)]
 pub(crate) struct IdempotencyTable {
     /// Seeds the digests of bodies. It is random, so that no client can construct a collision.
@@ -342,15 +340,15 @@
         self.entries.values_mut().for_each(|entry| entry.expires_at += by);
     }
 
-    /// Removes expired entries, at most once per [`SWEEP_INTERVAL`].
-    pub(crate) fn sweep(&mut self, now: UnixTime) {
+    /// Removes the entries that had expired before a time, at most once per [`SWEEP_INTERVAL`].
+    pub(crate) fn sweep(&mut self, now: UnixTime, expired_before: UnixTime) {
         if now < self.last_swept_at + SWEEP_INTERVAL {
             return;
         }
         self.last_swept_at = now;
         let IdempotencyTable { key_by_holder, result_bytes, entries, pending_count, .. } = self;
         entries.retain(|_, entry| {
-            let stays = now < entry.expires_at + LATE_READ_GRACE || entry.is_running();
+            let stays = entry.expires_at > expired_before || entry.is_running();
             if !stays {
                 key_by_holder.remove(&entry.holder);
                 *result_bytes -= entry.result_bytes();
--- a/node/src/dispatcher/idempotency/tests.rs
+++ b/node/src/dispatcher/idempotency/tests.rs
@@ -23,7 +23,7 @@
 #[test]
 fn an_attempt_received_before_its_key_expired_is_a_repeat_if_read_within_the_late_read_grace() {
     let mut table = table_with_first_attempt();
-    table.sweep(at(120));
+    table.sweep(at(120), at(112));
     assert_eq!(table.register_attempt(key(), b"x", at(117)), KeyMatch::RepeatOf(FIRST_ATTEMPT));
     assert_eq!(
         table.register_attempt(key(), b"x", at(118)),
@@ -31,7 +31,7 @@
         "an attempt received after the expiry is a new request"
     );
     let mut table = table_with_first_attempt();
-    table.sweep(at(126));
+    table.sweep(at(126), at(118));
     assert_eq!(
         table.register_attempt(key(), b"x", at(117)),
         KeyMatch::New,
@@ -58,7 +58,7 @@
         table.assign(&n.to_be_bytes().to_vec().into(), b"x", RequestId(n), at(117));
     }
     assert!(table.is_full());
-    table.sweep(at(126));
+    table.sweep(at(126), at(118));
     assert!(!table.is_full());
 }
 
@@ -78,7 +78,7 @@
     assert!(
         table.is_full() && (0..3).all(|n| table.outcome(&key(n), b"x", at(110)) == Some(longest.clone()))
     );
-    table.sweep(at(126));
+    table.sweep(at(126), at(118));
     assert!(!table.is_full());
     table.assign(&key(4), b"x", FIRST_ATTEMPT, at(140));
     table.complete(FIRST_ATTEMPT, StoredOutcome::Succeeded(vec![0; MAX_RESULT_BYTES + 1].into()));
@@ -118,9 +118,9 @@
     let mut table = IdempotencyTable::new(1000);
     table.assign(&key(), b"b", FIRST_ATTEMPT, at(117));
     table.postpone_expiry(Duration::from_secs(3600));
-    table.sweep(at(3716));
+    table.sweep(at(3716), at(3708));
     assert_eq!(table.register_attempt(key(), b"b", at(3716)), KeyMatch::RepeatOf(FIRST_ATTEMPT));
-    table.sweep(at(3717) + LATE_READ_GRACE);
+    table.sweep(at(3725), at(3717));
     assert!(!table.contains(&key()));
 }
 
@@ -143,7 +143,7 @@
     assert_eq!(table.complete(SECOND_ATTEMPT, result(b"four")), []);
     assert_eq!(table.wait_for_outcome(&key(), SECOND_ATTEMPT), Some(StoredOutcome::Failed));
     assert_eq!(table.wait_for_outcome(&other, FIRST_ATTEMPT), Some(result(b"four")));
-    table.sweep(at(126));
+    table.sweep(at(126), at(118));
     assert_eq!((table.result_bytes, table.keys_with_outcome.len()), (0, 0));
 }
 
@@ -151,7 +151,7 @@
 fn a_key_does_not_expire_while_it_is_running() {
     let mut table = table_with_first_attempt();
     assert!(table.try_start(&key(), FIRST_ATTEMPT));
-    table.sweep(at(300));
+    table.sweep(at(300), at(292));
     assert_eq!(
         table.register_attempt(key(), b"x", at(300)),
         KeyMatch::RepeatOf(FIRST_ATTEMPT),
@@ -160,6 +160,6 @@
     assert_eq!(table.wait_for_outcome(&key(), SECOND_ATTEMPT), None);
     assert_eq!(table.complete(FIRST_ATTEMPT, StoredOutcome::Failed), [SECOND_ATTEMPT]);
     assert_eq!(table.register_attempt(key(), b"x", at(301)), KeyMatch::New);
-    table.sweep(at(302));
+    table.sweep(at(302), at(294));
     assert!(!table.contains(&key()));
 }
--- a/node/src/outcome.rs
+++ b/node/src/outcome.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-/// Time for which an expired key is kept for attempts that are read late, and length of the longest result that
+/// Shortest time for which an expired key is kept for attempts that are read late, and length of the longest result that
 /// is stored, in bytes. Both are the same for every store.
 pub(crate) use oakwind_fleet::{LATE_READ_GRACE, MAX_RESULT_BYTES};
 use siphasher::sip::SipHasher13;
--- a/node/tests/sockets/windows.rs
+++ b/node/tests/sockets/windows.rs
@@ -94,3 +94,21 @@
     {"jsonrpc":"2.0","id":2,"result":{"content":"am9iIDE="}}
     "#);
 }
+
+/// Guards against keys that are removed right after a standstill, before the retries that came within their window are read.
+#[test]
+fn a_retry_inside_the_window_that_is_read_after_a_long_standstill_does_not_run() {
+    let (node, _vm, mut link) = start_node_with_short_window();
+    let mut client = node.client();
+    client.request(1, "a1", Some("k"), WINDOW_MS);
+    link.next_run();
+    link.send_run_result(1, "a1", "done", "job 1");
+    assert!(client.read_line().contains("am9iIDE="));
+    node.pause();
+    client.request(2, "a2", Some("k"), LONG_LIMIT_MS);
+    // Longer than the window and the 8 s for which expired keys were kept whatever happened.
+    std::thread::sleep(std::time::Duration::from_secs(12));
+    node.resume();
+    let late = client.read_line();
+    assert!(late.contains("\"id\":2,\"result\":{\"content\":\"am9iIDE=\"}"), "{late}");
+}
