Take a uwsgi request read after a standstill as received at the standstill's begin

Cause: uwsgi states no time of receipt, so that the request counted as received when it was read, after its key had expired.

Change: keys are decided on by the earliest time at which a request may have come: the stated one, or without it the time of reading, or the begin of a standstill from which the process resumed less than a second ago. The rule stands beside the one that keeps expired keys. Ages, deadlines and drains still count from the reading.

Tests: windows::a_uwsgi_retry_inside_the_window_that_is_read_... fails without the change; a unit test of the rule.

--- a/node/src/backend/interpreter/runs/tests.rs
+++ b/node/src/backend/interpreter/runs/tests.rs
@@ -19,6 +19,7 @@
         memory_kb: 1.0,
         rank: 0.0,
         received_at: Duration::ZERO,
+        stated_receipt: None,
         deadline: Duration::ZERO,
         body: Bytes::from("body"),
     }))
--- a/node/src/dispatcher.rs
+++ b/node/src/dispatcher.rs
@@ -103,7 +103,7 @@
         max_result_bytes: usize,
     ) -> Self {
         let awaits_predecessor = endpoints.status.borrow().awaiting_state;
-        let late_reads = LateReads::new(&settings.settings);
+        let late_reads = LateReads::new(&settings.settings, clock::now());
         Dispatcher {
             endpoints,
             settings,
--- a/node/src/dispatcher/late_reads.rs
+++ b/node/src/dispatcher/late_reads.rs
@@ -1,4 +1,5 @@
-//! How long an expired key is kept for attempts that were sent within its window and are read after it.
+//! Attempts that were sent within the window of their key and are read after it: when they may have been sent, and how long
+//! an expired key is kept for them.
 //!
 //! A client waits for an attempt up to the deadline of its class, so that it may be read that much later than it was sent,
 //! and later still if this process stands still meanwhile. No key is kept for less than [`LATE_READ_GRACE`], for which other
@@ -16,22 +17,25 @@
 /// Time in which a process reads everything that had arrived while it stood still.
 const CATCH_UP_TIME: Duration = Duration::from_secs(1);
 
-/// Decides when expired keys may be removed.
+/// Follows the standstills of this process.
 pub(super) struct LateReads {
     /// The longest deadline of any class, in the settings in force or in earlier ones.
     longest_deadline: Duration,
     last_batch_at: UnixTime,
+    /// The last batch before this process last stood still.
+    stopped_at: UnixTime,
     /// When this process went on after it last stood still.
     resumed_at: UnixTime,
 }
 
 impl LateReads {
-    /// The state of a process that starts with these settings.
-    pub(super) fn new(settings: &Settings) -> Self {
+    /// The state of a process that starts now with these settings.
+    pub(super) fn new(settings: &Settings, now: UnixTime) -> Self {
         let mut late_reads = LateReads {
             longest_deadline: Duration::ZERO,
-            last_batch_at: UnixTime::ZERO,
-            resumed_at: UnixTime::ZERO,
+            last_batch_at: now,
+            stopped_at: now,
+            resumed_at: now,
         };
         late_reads.follow_settings(settings);
         late_reads
@@ -46,7 +50,8 @@
     /// Records a batch. Returns the time by which a key must have expired to be removed now; none while attempts may be
     /// unread because this process stood still.
     pub(super) fn removable_before(&mut self, now: UnixTime) -> Option<UnixTime> {
-        if now > self.last_batch_at + MAX_BATCH_INTERVAL {
+        if self.stood_still_until(now) {
+            self.stopped_at = self.last_batch_at;
             self.resumed_at = now;
         }
         self.last_batch_at = now;
@@ -54,6 +59,23 @@
         let kept_for = (self.longest_deadline + CATCH_UP_TIME).max(LATE_READ_GRACE);
         has_caught_up.then(|| now.saturating_sub(kept_for))
     }
+
+    /// When an attempt that is read now reached this machine at the earliest. `stated` is when it did, if its protocol
+    /// states that. Other attempts may have come at any time in a standstill from which this process has just resumed.
+    pub(super) fn earliest_receipt(&self, stated: Option<UnixTime>, now: UnixTime) -> UnixTime {
+        let read_at = if self.stood_still_until(now) {
+            self.last_batch_at
+        } else if now < self.resumed_at + CATCH_UP_TIME {
+            self.stopped_at
+        } else {
+            now
+        };
+        stated.unwrap_or(read_at)
+    }
+
+    fn stood_still_until(&self, now: UnixTime) -> bool {
+        now > self.last_batch_at + MAX_BATCH_INTERVAL
+    }
 }
 
 #[cfg(test)]
--- a/node/src/dispatcher/late_reads/tests.rs
+++ b/node/src/dispatcher/late_reads/tests.rs
@@ -21,7 +21,7 @@
 #[test]
 fn a_key_is_kept_for_the_longest_deadline_after_it_has_expired() {
     let long = Duration::from_secs(20);
-    let mut late_reads = LateReads::new(&settings_with_deadline(long));
+    let mut late_reads = LateReads::new(&settings_with_deadline(long), START);
     let now = START + Duration::from_secs(2);
     assert_eq!(removable_after_batches(&mut late_reads, START, now), Some(now - long - CATCH_UP_TIME));
     late_reads.follow_settings(&settings_with_deadline(Duration::from_secs(1)));
@@ -35,10 +35,29 @@
 /// Guards against keys that are removed after a standstill before the attempts that came meanwhile have been read.
 #[test]
 fn no_key_is_removed_until_a_process_that_stood_still_has_caught_up() {
-    let mut late_reads = LateReads::new(&settings_with_deadline(Duration::from_secs(2)));
+    let mut late_reads = LateReads::new(&settings_with_deadline(Duration::from_secs(2)), START);
     let stopped_at = START + Duration::from_secs(2);
     assert!(removable_after_batches(&mut late_reads, START, stopped_at).is_some());
     let resumed_at = stopped_at + Duration::from_secs(60);
     assert_eq!(late_reads.removable_before(resumed_at), None);
     assert!(removable_after_batches(&mut late_reads, resumed_at, resumed_at + CATCH_UP_TIME).is_some());
 }
+
+/// Guards against an attempt that came within the window of its key, and is taken for a later one because it is read late.
+#[test]
+fn an_attempt_read_after_a_standstill_may_have_come_at_its_begin_unless_its_receipt_is_stated() {
+    let mut late_reads = LateReads::new(&settings_with_deadline(Duration::from_secs(2)), START);
+    let stopped_at = START + Duration::from_secs(2);
+    removable_after_batches(&mut late_reads, START, stopped_at);
+    assert_eq!(late_reads.earliest_receipt(None, stopped_at), stopped_at);
+    let resumed_at = stopped_at + Duration::from_secs(6);
+    let stated = stopped_at + Duration::from_secs(3);
+    for _ in ["before the first batch", "after it"] {
+        assert_eq!(late_reads.earliest_receipt(None, resumed_at), stopped_at);
+        assert_eq!(late_reads.earliest_receipt(Some(stated), resumed_at), stated);
+        late_reads.removable_before(resumed_at);
+    }
+    let caught_up_at = resumed_at + CATCH_UP_TIME;
+    removable_after_batches(&mut late_reads, resumed_at, caught_up_at);
+    assert_eq!(late_reads.earliest_receipt(None, caught_up_at), caught_up_at);
+}
--- a/node/src/dispatcher/submission.rs
+++ b/node/src/dispatcher/submission.rs
@@ -71,7 +71,7 @@
         if self.idempotency.is_in_batch(&key) {
             return self.deferred.push_back(DispatcherEvent::Submitted(submission));
         }
-        match self.idempotency.register_attempt(key, &request.body, request.received_at) {
+        match self.idempotency.register_attempt(key, &request.body, self.earliest_receipt(request, now)) {
             KeyMatch::New => self.open_attempt(submission, None, now),
             KeyMatch::RepeatOf(holder) => self.open_attempt(submission, Some(holder), now),
             KeyMatch::BodyMismatch => {
@@ -95,7 +95,7 @@
             );
             return Some(RequestOutcome::Failed { timed_out: false });
         }
-        if self.may_have_run_at_successor(key, request) {
+        if self.may_have_run_at_successor(key, request, now) {
             log!("handover: request failed, its key may have run at the successor: txn={}", request.txn);
             return Some(RequestOutcome::Failed { timed_out: false });
         }
@@ -144,12 +144,12 @@
         request: &Request,
         now: UnixTime,
     ) -> Option<RequestOutcome> {
-        let is_unknown =
-            self.may_have_run_unrecorded(key, request, now) || self.may_have_run_at_successor(key, request);
+        let is_unknown = self.may_have_run_unrecorded(key, request, now)
+            || self.may_have_run_at_successor(key, request, now);
         if is_unknown {
             return Some(RequestOutcome::Failed { timed_out: false });
         }
-        let outcome = self.idempotency.outcome(key, &request.body, request.received_at)?;
+        let outcome = self.idempotency.outcome(key, &request.body, self.earliest_receipt(request, now))?;
         Some(self.outcome_for_repeat(&outcome))
     }
 
@@ -165,15 +165,21 @@
     /// Whether a key that is not in the table may have run, because its stored record may be damaged, or was lost
     /// with the predecessor.
     fn may_have_run_unrecorded(&self, key: &IdempotencyKey, request: &Request, now: UnixTime) -> bool {
-        let may_have_run =
-            self.run_gate.may_have_run(key, now) || self.handover.may_repeat_lost_key(request.received_at);
+        let may_have_run = self.run_gate.may_have_run(key, now)
+            || self.handover.may_repeat_lost_key(self.earliest_receipt(request, now));
         may_have_run && !self.idempotency.contains(key)
     }
 
     /// Whether a key that is not in the table may have run at the successor, to which the table was transferred. The
     /// successor would not learn of a run here either, so none may start.
-    fn may_have_run_at_successor(&self, key: &IdempotencyKey, request: &Request) -> bool {
-        self.state_is_transferred() && !self.idempotency.contains_current(key, request.received_at)
+    fn may_have_run_at_successor(&self, key: &IdempotencyKey, request: &Request, now: UnixTime) -> bool {
+        let received_at = self.earliest_receipt(request, now);
+        self.state_is_transferred() && !self.idempotency.contains_current(key, received_at)
+    }
+
+    /// When a request reached this machine at the earliest, by which it is decided whether its key had expired.
+    fn earliest_receipt(&self, request: &Request, now: UnixTime) -> UnixTime {
+        self.late_reads.earliest_receipt(request.stated_receipt, now)
     }
 
     /// Returns the rejection of a request that did not run although the admission module did not reject it: no
--- a/node/src/dispatcher/tests.rs
+++ b/node/src/dispatcher/tests.rs
@@ -112,6 +112,7 @@
         memory_kb: 32.0,
         rank: 0.5,
         received_at: now,
+        stated_receipt: Some(now),
         deadline: now + TEST_TIMEOUT,
         body: Bytes::from_static(body),
     }
--- a/node/src/dispatcher/tests/handover.rs
+++ b/node/src/dispatcher/tests/handover.rs
@@ -105,6 +105,7 @@
             let received_at = clock::now() + received_after;
             let late = Request {
                 received_at,
+                stated_receipt: Some(received_at),
                 deadline: received_at + TEST_TIMEOUT,
                 ..request(tag, b"key", b"body")
             };
--- a/node/src/exchange/request.rs
+++ b/node/src/exchange/request.rs
@@ -52,8 +52,10 @@
     pub(crate) memory_kb: f64,
     /// Rank of the request, from 0 to under 1.
     pub(crate) rank: f64,
-    /// When the request reached this machine.
+    /// When the request reached this machine, or when it was read if the protocol does not state that.
     pub(crate) received_at: UnixTime,
+    /// When the request reached this machine; `None` if the protocol does not state that.
+    pub(crate) stated_receipt: Option<UnixTime>,
     /// When the client stops waiting for the answer.
     pub(crate) deadline: UnixTime,
     /// Body of the request, as it was read.
--- a/node/src/frontend/jsonrpc/request.rs
+++ b/node/src/frontend/jsonrpc/request.rs
@@ -79,6 +79,7 @@
         memory_kb: params.memory_kb,
         rank: params.rank,
         received_at,
+        stated_receipt: Some(received_at),
         deadline,
         body,
     })
--- a/node/src/frontend/uwsgi/request.rs
+++ b/node/src/frontend/uwsgi/request.rs
@@ -151,6 +151,7 @@
             memory_kb,
             rank: DEFAULT_RANK,
             received_at: now,
+            stated_receipt: None,
             deadline: self.registry.request_deadline(class, now, deadline),
             body: packet.body.clone(),
         }))
--- a/node/tests/sockets/windows.rs
+++ b/node/tests/sockets/windows.rs
@@ -11,7 +11,7 @@
         .replace("\"by_key\", \"window\": 120000000", "\"by_key\", \"window\": 3000000")
         .replace("\"deadline\": 120000000", "\"deadline\": 3000000")
         .replace("\"slo\": 60000000", "\"slo\": 3000000");
-    let node = Node::start(&text, None);
+    let node = Node::start(&text, Some(UWSGI));
     let link = vm.interpreter("0");
     (node, vm, link)
 }
@@ -112,3 +112,22 @@
     let late = client.read_line();
     assert!(late.contains("\"id\":2,\"result\":{\"content\":\"am9iIDE=\"}"), "{late}");
 }
+
+/// Guards against a retry over uwsgi that came within the window and runs, because its receipt is taken to be when it is read.
+#[test]
+fn a_uwsgi_retry_inside_the_window_that_is_read_after_it_does_not_run() {
+    let (mut node, _vm, mut link) = start_node_with_short_window();
+    let address = node.uwsgi_address();
+    let book = packet(&[("PATH_INFO", "/book"), ("HTTP_IDEMPOTENCY_KEY", "k")], "body");
+    let mut first = Peer::connect(address);
+    first.send(&book);
+    let (id, ..) = link.next_run();
+    link.send_run_result(1, &id, "done", "job 1");
+    assert!(first.read_to_end().ends_with("job 1"));
+    node.pause();
+    let mut retry = Peer::connect(address);
+    retry.send(&book);
+    wait_until_window_has_passed();
+    node.resume();
+    assert!(retry.read_to_end().ends_with("job 1"));
+}
