Read on while other requests are open, however slowly a message is written

Cause: 2 s after the first byte of a message the connection was read no more and stayed open for the responses that were owed.

Change: while other requests are open, an incomplete message gets further 2 s. Where reading ends for another cause, a client with open requests is notified with `draining` at once. A message that can't end has no second deadline.

--- a/node/src/frontend/jsonrpc/connection.rs
+++ b/node/src/frontend/jsonrpc/connection.rs
@@ -215,9 +215,13 @@
         has_memory
     }
 
-    /// Responds with an error, stops reading, and closes once all open requests have their responses.
+    /// Responds with an error, stops reading, and closes once all open requests have their responses. Until then the client
+    /// must know that nothing more is read.
     fn fail(&mut self, message: &'static str) {
         RpcError::invalid_request(message).without_id().write(&mut self.output);
+        if !self.open.is_empty() && self.draining_since.is_none() {
+            self.announce_close();
+        }
         self.consecutive_errors += 1;
         self.message_deadline = None;
         self.closing = Closing::StopReading;
@@ -241,7 +245,8 @@
         }
         // The deadline of an incomplete message counts from its first byte.
         let running = if lines > 0 { None } else { self.message_deadline };
-        self.message_deadline = running.or((!input.is_empty()).then(|| self.last_used + MESSAGE_TIMEOUT));
+        let is_incomplete = !input.is_empty() && !self.stops_reading();
+        self.message_deadline = running.or(is_incomplete.then(|| self.last_used + MESSAGE_TIMEOUT));
         if lines > 1 {
             // Lets other connections run while this client sends without a pause.
             tokio::task::yield_now().await;
--- a/node/src/frontend/jsonrpc/connection/deadlines.rs
+++ b/node/src/frontend/jsonrpc/connection/deadlines.rs
@@ -4,7 +4,7 @@
 
 use super::{Closing, Connection, DRAINING_IDLE_TIMEOUT, MAX_WAIT};
 use crate::clock::{self, UnixTime};
-use crate::frontend::connection_limiter::ConnectionState;
+use crate::frontend::connection_limiter::{ConnectionState, MESSAGE_TIMEOUT};
 use crate::frontend::jsonrpc::response::write_draining;
 
 impl Connection {
@@ -89,9 +89,15 @@
         true
     }
 
-    /// Begins to close a connection whose message is not complete in time.
+    /// Begins to close a connection whose message is not complete in time, unless other requests are open: until they have
+    /// their responses the connection can't be closed, and whatever is written whole to it must be answered.
     fn check_message_deadline(&mut self, input_is_empty: bool) {
-        if self.message_deadline.is_none_or(|deadline| clock::now() < deadline) {
+        let now = clock::now();
+        if self.message_deadline.is_none_or(|deadline| now < deadline) {
+            return;
+        }
+        if !input_is_empty && !self.open.is_empty() {
+            self.message_deadline = Some(now + MESSAGE_TIMEOUT);
             return;
         }
         self.message_deadline = None;
@@ -103,7 +109,8 @@
         }
     }
 
-    fn announce_close(&mut self) {
+    /// Notifies the client that it is to send no more requests on this connection.
+    pub(super) fn announce_close(&mut self) {
         self.draining_since = Some(clock::now());
         write_draining(&mut self.output);
     }
--- a/node/tests/sockets/jsonrpc.rs
+++ b/node/tests/sockets/jsonrpc.rs
@@ -112,6 +112,47 @@
     assert_eq!(silent.read_to_end().trim_end(), DRAINING);
 }
 
+/// Guards against requests that are written whole to an open connection and never answered, because one of them was written
+/// slowly and the node had stopped reading.
+#[test]
+fn a_request_that_is_written_slowly_beside_an_open_one_is_served_and_so_is_the_next() {
+    let (node, _vm, mut link) = Node::with_interpreter("", None);
+    let mut client = node.client();
+    client.request(1, "a1", None, LONG_LIMIT_MS);
+    assert_eq!(link.next_run().0, "a1");
+    let slow = request(2, "a2", "quote", None, LONG_LIMIT_MS);
+    client.send(&slow[..40]);
+    // Longer than the time for a message on a connection without an open request.
+    std::thread::sleep(std::time::Duration::from_millis(2500));
+    client.send(&slow[40..]);
+    assert_eq!(link.next_run().0, "a2");
+    client.request(3, "a3", None, LONG_LIMIT_MS);
+    assert_eq!(link.next_run().0, "a3");
+    client.send("{\"jsonrpc\":");
+    for (notice, txn) in [(1, "a1"), (2, "a2"), (3, "a3")] {
+        link.send_run_result(notice, txn, "done", "x");
+        assert!(client.read_line().contains("\"result\""));
+    }
+    insta::assert_snapshot!(client.read_to_end(), @r#"{"jsonrpc":"2.0","id":null,"error":{"code":-32600,"message":"the message did not end in time"}}"#);
+}
+
+/// Guards against a client that does not learn that the node reads no more, and writes requests that stay unanswered.
+#[test]
+fn a_client_is_notified_if_its_connection_is_no_longer_read_and_has_open_requests() {
+    let (node, _vm, mut link) = Node::with_interpreter("", None);
+    let mut client = node.client();
+    client.request(1, "a1", None, LONG_LIMIT_MS);
+    assert_eq!(link.next_run().0, "a1");
+    client.send("x".repeat(20_000));
+    assert!(client.read_any_line().contains("the line is too long"));
+    assert_eq!(client.read_any_line(), DRAINING);
+    // Longer than the time for a message, which has no deadline any more.
+    std::thread::sleep(std::time::Duration::from_millis(2500));
+    link.send_run_result(1, "a1", "done", "x");
+    assert!(client.read_any_line().contains("\"result\""));
+    assert_eq!(client.read_any_line(), "", "the connection is closed");
+}
+
 #[test]
 fn a_client_may_not_open_more_than_32_requests_on_a_connection() {
     let (node, _vm, _link) = Node::with_interpreter("", None);
