--- a/node/src/frontend/jsonrpc/connection.rs
+++ b/node/src/frontend/jsonrpc/connection.rs
@@ -1,5 +1,6 @@
 //! Serves one connection: reads requests, writes responses, and closes it.
 
+mod buffers;
 mod deadlines;
 mod requests;
 
@@ -20,7 +21,6 @@
 use crate::frontend::connection_limiter::{ConnectionGuard, MESSAGE_TIMEOUT};
 use crate::frontend::write_backlog::WriteBacklog;
 use crate::frontend::{has_client_left, lingering_close, poll_new_connection};
-use crate::log;
 
 /// Maximum number of open requests on one connection.
 const MAX_OPEN_REQUESTS: usize = 32;
@@ -29,10 +29,6 @@
 /// Number of unwritten bytes from which nothing more is read, so that a client that reads no responses can't
 /// fill the memory.
 const MAX_UNWRITTEN_BYTES: usize = 64 * 1024;
-/// Free space that is kept in the read buffer for each read, in bytes.
-const READ_CHUNK_BYTES: usize = 4096;
-/// Size up to which an unused buffer is kept, in bytes.
-const MAX_IDLE_BUFFER_BYTES: usize = 2 * READ_CHUNK_BYTES;
 /// Number of consecutive invalid messages after which a connection is closed, so that a client that sends
 /// them at full speed can't occupy the core.
 const MAX_CONSECUTIVE_ERRORS: u32 = 16;
@@ -152,7 +148,7 @@
             let has_memory = self.limit_buffers(&mut input);
             let reading = has_memory && !self.stops_reading() && self.output.len() < MAX_UNWRITTEN_BYTES;
             let closes_at_once = self.is_final_check && self.guard.is_evicted();
-            reserve_for_read(&mut input);
+            buffers::reserve_for_read(&mut input);
             tokio::select! {
                 biased;
                 written = writer.write_buf(&mut self.output), if !self.output.is_empty() => {
@@ -196,25 +192,6 @@
         Ok(())
     }
 
-    /// Reports the memory of the buffers, and frees those that are not needed. Returns whether there is memory to read more;
-    /// a long message for which there is none fails.
-    fn limit_buffers(&mut self, input: &mut BytesMut) -> bool {
-        if input.is_empty() || self.stops_reading() {
-            release(input);
-        }
-        if self.output.is_empty() {
-            release(&mut self.output);
-        }
-        let used = input.len() + self.output.len();
-        let has_memory = self.guard.set_buffers(used, input.capacity() + self.output.capacity());
-        if !has_memory && input.len() > READ_CHUNK_BYTES && !self.stops_reading() {
-            log!("frontend: message refused, no memory for long messages: protocol=JSON-RPC");
-            self.fail("no memory for a long message");
-            release(input);
-        }
-        has_memory
-    }
-
     /// Responds with an error, stops reading, and closes once all open requests have their responses. Until then the client
     /// must know that nothing more is read.
     fn fail(&mut self, message: &'static str) {
@@ -281,18 +258,3 @@
         lines
     }
 }
-
-/// Reserves free space for a read. Once a line is longer than a read it gets its maximum length at once, as a buffer that
-/// grows by and by takes up to twice the memory.
-fn reserve_for_read(input: &mut BytesMut) {
-    let longest = MAX_LINE_BYTES.saturating_sub(input.len());
-    let rest_of_line = if input.len() < READ_CHUNK_BYTES { 0 } else { longest };
-    input.reserve(rest_of_line.max(READ_CHUNK_BYTES));
-}
-
-/// Frees the memory of an unused buffer that is larger than usual.
-fn release(buffer: &mut BytesMut) {
-    if buffer.capacity() > MAX_IDLE_BUFFER_BYTES {
-        *buffer = BytesMut::new();
-    }
-}
