--- a/node/tests/sockets/helper/peer.rs
+++ b/node/tests/sockets/helper/peer.rs
@@ -111,6 +111,13 @@
         line.trim_end().to_string()
     }
 
+    /// Reads the next line without its line end; none at the end of the stream, clean or not.
+    pub(crate) fn next_line(&mut self) -> Option<String> {
+        let mut line = String::new();
+        let bytes = self.stream.read_line(&mut line).ok()?;
+        (bytes > 0).then(|| line.trim_end().to_string())
+    }
+
     pub(crate) fn read_bytes(&mut self, length: usize) -> Vec<u8> {
         let mut bytes = vec![0; length];
         self.stream.read_exact(&mut bytes).unwrap();
--- a/node/tests/sockets/helper/upgrade_fixture.rs
+++ b/node/tests/sockets/helper/upgrade_fixture.rs
@@ -13,7 +13,7 @@
 pub(crate) struct UpgradeFixture {
     /// The JSON-RPC frontend's address.
     pub json: String,
-    uwsgi: String,
+    pub uwsgi: String,
     /// The processes' `TMPDIR`.
     pub folder: PathBuf,
     /// The text of their result store file, if they have one.
--- a/node/tests/sockets/main.rs
+++ b/node/tests/sockets/main.rs
@@ -17,6 +17,7 @@
 mod departures;
 mod reload;
 mod result_store;
+mod soak;
 mod upgrade;
 mod upgrade_store;
 mod uwsgi;
