Give the nodes of a play fixed ports for each other instead of ports found free

KNOWN-RED.txt has a play whose node was not ready at the start, once beside load. Suspected: the harness found the port of a node's peers by binding and closing a socket; a process that another thread starts at that moment holds a copy until its exec, and a node that can't listen ends.

That it was the cause of the one failure is not shown, so the entry stays.

Change: each node has a loopback address that only it uses, so that any port is free there; peers and routers have constant ones, and nothing is bound.

--- a/fault-harness/src/play/links.rs
+++ b/fault-harness/src/play/links.rs
@@ -21,6 +21,10 @@
 /// The first number of the relays among nodes. The number selects a relay's random stream, so it must not
 /// overlap the numbers of the relays to services.
 const FIRST_PEER_RELAY: usize = 1 << 16;
+/// Port at which each node listens for replicating peers, below the ports that the system gives to others.
+const PEER_PORT: u16 = 4_100;
+/// Port at which each node listens for the other members of its virtual router.
+const ROUTER_PORT: u16 = 4_112;
 /// Maximum number of datagrams or connections queued for forwarding.
 const QUEUE_CAPACITY: usize = 64;
 /// The version of the membership configuration without the nodes that join later.
@@ -70,13 +74,18 @@
 }
 
 impl Testbed {
-    /// A loopback address that only this node of this play uses, so that no other process can take a port
-    /// that was free there.
+    /// A loopback address that only this node of this play uses, so that every port is free there.
     fn unique_address(&self, node: usize) -> io::Result<Ipv4Addr> {
         let network = (self.context.number % MAX_NETWORKS) as u8;
         Ok(loopback::process_block()?.address(network, node as u8 + 1))
     }
 
+    /// The addresses at which the nodes listen for each other. They are not bound here to find a free port: a process that
+    /// another thread starts at that moment would hold the bound socket for a while, and the node could not listen.
+    fn listen_addresses(&self, port: u16) -> io::Result<Vec<SocketAddr>> {
+        (0..self.nodes.len()).map(|node| Ok((self.unique_address(node)?, port).into())).collect()
+    }
+
     /// Creates a relay for each ordered pair of nodes, each with its own random stream.
     fn relays_by_pair(&self) -> RelaysByPair {
         let nodes = self.nodes.len();
@@ -90,11 +99,7 @@
     /// Connects all nodes as one virtual router, with a relay for each direction between two nodes.
     pub(super) async fn connect_router(&self, interval_ms: u64) -> io::Result<()> {
         let count = self.nodes.len();
-        let mut listen_addresses = Vec::new();
-        for node in 0..count {
-            let socket = UdpSocket::bind((self.unique_address(node)?, 0)).await?;
-            listen_addresses.push(socket.local_addr()?);
-        }
+        let listen_addresses = self.listen_addresses(ROUTER_PORT)?;
         let proxies = bind_proxies(count).await?;
         let relays = self.relays_by_pair();
         for pair in pairs(count) {
@@ -118,11 +123,7 @@
     /// them opens.
     pub(super) async fn connect_peers(&self) -> io::Result<()> {
         let count = self.nodes.len();
-        let mut listen_addresses = Vec::new();
-        for node in 0..count {
-            let listener = TcpListener::bind((self.unique_address(node)?, 0)).await?;
-            listen_addresses.push(listener.local_addr()?);
-        }
+        let listen_addresses = self.listen_addresses(PEER_PORT)?;
         let relays = self.relays_by_pair();
         let mut dial_addresses = vec![listen_addresses.clone(); count];
         for pair in pairs(count) {
