Answer what would wait for another node's run past the stop, also after the notice

Cause: attempts that could wait past the stop were answered at the notice alone.

Change: the same check is made when an attempt begins to wait.

--- a/node/src/dispatcher.rs
+++ b/node/src/dispatcher.rs
@@ -46,7 +46,7 @@
 use crate::outcome::RequestOutcome;
 use crate::result_store::KeySource;
 use crate::run_gate::RunGate;
-use attempts::{Attempt, AttemptTable, Phase, TIMEOUT_MARGIN};
+use attempts::{Attempt, AttemptTable};
 use handover_progress::HandoverProgress;
 use idempotency::IdempotencyTable;
 use late_reads::LateReads;
@@ -319,17 +319,7 @@
     /// Handles the shutdown notice: the process is stopped at `stops_at`.
     fn drain(&mut self, stops_at: UnixTime) {
         let now = clock::now();
-        // An attempt that waits for another node's run, and has a deadline that is at most `TIMEOUT_MARGIN`
-        // before the stop or later, could still be waiting when this process is stopped, so it is answered
-        // now.
-        let waits_past_stop = |attempt: &&Attempt| {
-            attempt.phase == Phase::AwaitingRemoteRun && attempt.request.deadline + TIMEOUT_MARGIN >= stops_at
-        };
-        let waiting = self.attempts.iter().filter(waits_past_stop);
-        let abandoned: Vec<_> = waiting.map(|attempt| attempt.id).collect();
-        for id in abandoned {
-            self.abandon_key(id, RequestOutcome::Failed { timed_out: false });
-        }
+        self.abandon_waits_past_stop(stops_at);
         if self.status().draining.is_none() {
             self.admission_events.push(Event::Drain(stops_at.saturating_sub(now)));
             self.update_status(|status| status.draining = Some(ShutdownNotice { stops_at, noticed_at: now }));
--- a/node/src/dispatcher/runs.rs
+++ b/node/src/dispatcher/runs.rs
@@ -17,7 +17,7 @@
 use oakwind_fleet::audit::decision_record::Decision;
 
 use super::at_most_once::is_at_most_once_key;
-use super::attempts::Phase;
+use super::attempts::{Attempt, Phase, TIMEOUT_MARGIN};
 use super::idempotency::AssignedKey;
 use super::Dispatcher;
 use crate::clock::{self, UnixTime};
@@ -187,7 +187,7 @@
         match event {
             GateEvent::Authorized { id, granted } => self.on_authorization(id, granted),
             GateEvent::Completed { id, completion } => self.on_completion_stored(id, completion),
-            GateEvent::AwaitingRemoteRun(id) => self.detach_from_admission(id),
+            GateEvent::AwaitingRemoteRun(id) => self.await_remote_run(id),
             GateEvent::RemoteOutcome { id, outcome } => self.complete_remote_run(id, &outcome),
             GateEvent::OutcomeUnknown(id) => self.abandon_key(id, RequestOutcome::Failed { timed_out: true }),
             GateEvent::BodyMismatch(id) => self.abandon_key(id, RequestOutcome::BodyMismatch),
@@ -218,6 +218,27 @@
         }
     }
 
+    /// Makes an attempt wait for another node's run with its key, unless it could still be waiting when this process is
+    /// stopped.
+    fn await_remote_run(&mut self, id: RequestId) {
+        self.detach_from_admission(id);
+        if let Some(stops_at) = self.stops_at() {
+            self.abandon_waits_past_stop(stops_at);
+        }
+    }
+
+    /// Answers the attempts that wait for another node's run and could still be waiting when this process is stopped.
+    pub(super) fn abandon_waits_past_stop(&mut self, stops_at: UnixTime) {
+        let waits_past_stop = |attempt: &&Attempt| {
+            attempt.phase == Phase::AwaitingRemoteRun && attempt.request.deadline + TIMEOUT_MARGIN >= stops_at
+        };
+        let abandoned: Vec<_> =
+            self.attempts.iter().filter(waits_past_stop).map(|attempt| attempt.id).collect();
+        for id in abandoned {
+            self.abandon_key(id, RequestOutcome::Failed { timed_out: false });
+        }
+    }
+
     /// Reports an attempt to the admission module as skipped, because it does not run here: another node runs
     /// or may run a request with its key, or the key's outcome is unknown. Only an attempt in the phase
     /// `Running` is reported, so nothing is sent for one that has already been detached.
--- a/node/src/dispatcher/tests/handover.rs
+++ b/node/src/dispatcher/tests/handover.rs
@@ -1,6 +1,7 @@
 //! Tests of handovers between two processes of a node.
 
 use super::*;
+use crate::dispatcher::attempts::TIMEOUT_MARGIN;
 
 #[test]
 fn a_successor_buffers_keyed_attempts_until_it_has_the_table_and_does_not_run_keys_that_the_table_contains() {
--- a/node/tests/sockets/fleet.rs
+++ b/node/tests/sockets/fleet.rs
@@ -53,9 +53,20 @@
     }
 
     fn start(&self, n: usize, nodes: &[usize], more: &str) -> (Node, Peer) {
+        self.start_with(n, nodes, more, |config| config)
+    }
+
+    /// Like [`Fleet::start`], with a changed configuration.
+    fn start_with(
+        &self,
+        n: usize,
+        nodes: &[usize],
+        more: &str,
+        change: impl Fn(String) -> String,
+    ) -> (Node, Peer) {
         let vm = Server::new();
         let links = format!(r#""ops": "127.0.0.1:0", "vm": "{}","#, vm.address);
-        let config = with_short_windows(&config(&links)).replace("\"n1\"", &format!("\"n{n}\""));
+        let config = change(with_short_windows(&config(&links)).replace("\"n1\"", &format!("\"n{n}\"")));
         let mut node = Node::with_fleet(&config, &self.file(n, nodes, more), None);
         node.wait_until_listening();
         let link = vm.interpreter("0");
@@ -64,7 +75,13 @@
 
     /// Starts all three nodes and waits until each can run keyed requests.
     fn start_all(&self) -> Vec<(Node, Peer)> {
-        let mut all: Vec<(Node, Peer)> = (1..=3).map(|n| self.start(n, &[1, 2, 3], "")).collect();
+        self.start_all_with(|config| config)
+    }
+
+    /// Like [`Fleet::start_all`], with a changed configuration.
+    fn start_all_with(&self, change: impl Fn(String) -> String) -> Vec<(Node, Peer)> {
+        let start = |n| self.start_with(n, &[1, 2, 3], "", &change);
+        let mut all: Vec<(Node, Peer)> = (1..=3).map(start).collect();
         for (node, _) in &mut all {
             node.wait_for_log("fleet: quorum reached");
             node.wait_for_log("fleet: replica table complete: keys=0");
@@ -114,6 +131,26 @@
     wait_for_stats(&mut node, &["svc_fleet_lost 2\n"]);
 }
 
+/// Guards against a request that is read after the shutdown notice, waits for the run of another node, and is unanswered
+/// when its process is stopped.
+#[test]
+fn a_draining_node_answers_at_once_what_would_wait_for_another_nodes_run_past_its_stop() {
+    let fleet = Fleet::new();
+    let with_long_grace = with_drain_grace(30_000_000);
+    // The process is stopped before the deadline of the request.
+    let mut all = fleet.start_all_with(|config| with_long_grace(config).replace("30000,", "1000,"));
+    let mut clients: Vec<Peer> = all.iter().map(|(node, _)| node.client()).collect();
+    let whole = request(1, "b1", "book", Some("k"), 1900);
+    clients[1].send(&whole[..40]);
+    clients[0].request(1, "a1", Some("k"), 1900);
+    assert_eq!(all[0].1.next_run().0, "a1");
+    all[1].0.terminate();
+    assert_eq!(clients[1].read_any_line(), DRAINING);
+    clients[1].send(&whole[40..]);
+    let answer = clients[1].read_line();
+    assert!(answer.contains("\"id\":1,\"error\":{\"code\":-32000"), "{answer}");
+}
+
 /// Waits until the metrics contain all these lines.
 fn wait_for_stats(node: &mut Node, lines: &[&str]) {
     let ops = node.admin_address();
