Notify an attempt that still waits when the claim of its expired key is closed

Cause: the coordinator closed a claim whose key had expired before it looked whether its attempt had been given up.

Change: the claim is given up first, which notifies an attempt that still waits.

Test: an_attempt_that_still_waits_when_its_key_expires_is_notified fails without the change. Not played with processes.

--- a/fleet/src/claims/coordinator.rs
+++ b/fleet/src/claims/coordinator.rs
@@ -233,7 +233,7 @@
         }
     }
 
-    /// Closes a claim whose key has expired, gives up one past `give_up_at`, and sends a retry that is due.
+    /// Gives up and closes a claim whose key has expired, gives up one past `give_up_at`, and sends a retry that is due.
     fn handle_due_claim(
         &mut self,
         now: Time,
@@ -243,6 +243,8 @@
     ) {
         let Some(claim) = self.claims.get(&id) else { return };
         if claim.has_expired(now) {
+            // An attempt still waits if this process stood still past its deadline.
+            self.give_up(id, out);
             return self.remove(id);
         }
         if now >= claim.give_up_at {
--- a/fleet/src/claims/coordinator/tests.rs
+++ b/fleet/src/claims/coordinator/tests.rs
@@ -300,3 +300,21 @@
     fixture.complete(RunResult::Failed);
     assert!(matches!(fixture.resolve(6, claim, false), Some(Message::Completed { .. })));
 }
+
+/// Guards against attempts that are never answered, because their node stood still until their key had expired and its claim
+/// was closed without a word to them.
+#[test]
+fn an_attempt_that_still_waits_when_its_key_expires_is_notified() {
+    let expired = 10_000 + LATE_READ_GRACE.as_millis() as u64;
+    let mut collecting = Fixture::new();
+    collecting.tick(expired, |_| true);
+    assert_eq!(collecting.outcomes(), [ClaimOutcome::Rejected(RejectReason::DeadlineExceeded)]);
+    let mut waiting = Fixture::new();
+    for from in [2, 3] {
+        waiting.block(from, conflicting_claim(1), None);
+    }
+    waiting.tick(expired, |_| true);
+    assert_eq!(waiting.outcomes(), [ClaimOutcome::Unknown]);
+    waiting.tick(expired + 1, |_| true);
+    assert_eq!(waiting.outcomes(), [], "it is notified once");
+}
