--- a/node/src/dispatcher/submission.rs
+++ b/node/src/dispatcher/submission.rs
@@ -183,8 +183,9 @@
     }
 
     /// Returns the rejection of a request that did not run although the admission module did not reject it: no
-    /// backend can run requests yet, the idempotency table is full, the run gate denied the run, the queue of run commands was full, or no server accepted the run. The advised wait varies between
-    /// rejections and between nodes, so that callers don't retry all at once.
+    /// backend can run requests yet, the idempotency table is full, the run gate denied the run, the queue of run
+    /// commands was full, or no server accepted the run. The advised wait varies between rejections and between
+    /// nodes, so that callers don't retry all at once.
     pub(super) fn rejection_without_admission(&self) -> RequestOutcome {
         let settings = &self.settings.settings;
         let sequence = self.jitter_sequence.replace(self.jitter_sequence.get() + 1);
--- a/node/src/frontend/connection_limiter.rs
+++ b/node/src/frontend/connection_limiter.rs
@@ -125,11 +125,7 @@
 
     /// Number of processes that share the limits.
     fn sharing_processes(&self) -> usize {
-        if self.shared.get() {
-            2
-        } else {
-            1
-        }
+        1 + usize::from(self.shared.get())
     }
 
     fn count(&self) -> usize {
--- a/node/src/server/startup.rs
+++ b/node/src/server/startup.rs
@@ -83,17 +83,15 @@
     let Endpoints { exchange, dispatcher, backend } = exchange::new(mode);
     let capacity = ConnectionCapacity::new(&loaded);
     let Configuration { node: config, uwsgi, result_store, fleet, decision_log } = loaded;
-    let buffer_bytes = config.max_memory_bytes / BUFFER_MEMORY_DIVISOR;
-    let limiter = |connections| ConnectionLimiter::new(ConnectionLimits { connections, buffer_bytes });
     let (address_publisher, upstream_addresses) = watch::channel(config.upstreams.clone());
     let node = Node {
         registry: Rc::new(ClassRegistry::new(config.settings.clone())),
+        jsonrpc_limiter: limiter(capacity.jsonrpc, &config),
+        uwsgi_limiter: limiter(capacity.uwsgi, &config),
         config,
         uwsgi,
         exchange,
         upstream_addresses,
-        jsonrpc_limiter: limiter(capacity.jsonrpc),
-        uwsgi_limiter: limiter(capacity.uwsgi),
         backend_connections: capacity.per_backend,
         handover_socket,
         is_upgrade,
@@ -345,6 +343,12 @@
     handover::serve_successors(&socket, exchange).await;
 }
 
+/// A limiter of this many connections of a frontend, whose buffers have their part of the memory.
+fn limiter(connections: usize, config: &NodeConfig) -> Rc<ConnectionLimiter> {
+    let buffer_bytes = config.max_memory_bytes / BUFFER_MEMORY_DIVISOR;
+    ConnectionLimiter::new(ConnectionLimits { connections, buffer_bytes })
+}
+
 /// The role of a node without a virtual router: always active.
 fn always_active() -> watch::Receiver<bool> {
     watch::channel(true).1
--- a/node/tests/sockets/endings.rs
+++ b/node/tests/sockets/endings.rs
@@ -1,6 +1,7 @@
 //! Tests of shutdowns, closed connections and handovers while requests are still pending (docs/endings.md).
 
 use crate::helper::*;
+use oakwind_fault_harness::wire::STATUS;
 use std::io::Write;
 use std::os::unix::net::{UnixListener, UnixStream};
 
@@ -12,8 +13,6 @@
     (node, vm, link)
 }
 
-const STATUS: &str = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"status\"}\n";
-
 #[test]
 fn data_received_after_an_idle_connection_is_closed_is_neither_run_nor_reset() {
     let (node, _vm, mut link) =
--- a/node/tests/sockets/helper/mod.rs
+++ b/node/tests/sockets/helper/mod.rs
@@ -3,6 +3,7 @@
 
 mod node;
 mod peer;
+mod random;
 mod store_folder;
 mod upgrade_fixture;
 
@@ -18,6 +19,7 @@
 
 pub(crate) use node::Node;
 pub(crate) use peer::{Peer, Server};
+pub(crate) use random::Random;
 pub(crate) use store_folder::StoreFolder;
 pub(crate) use upgrade_fixture::{UpgradeFixture, BANNER};
 
--- a/node/tests/sockets/result_store.rs
+++ b/node/tests/sockets/result_store.rs
@@ -105,20 +105,6 @@
     client
 }
 
-/// A seeded pseudo-random number generator.
-struct Random(u64);
-
-impl Random {
-    fn below(&mut self, bound: u64) -> u64 {
-        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        (self.0 >> 33) % bound
-    }
-
-    fn pick(&mut self, keys: &[u32]) -> u32 {
-        keys[self.below(keys.len() as u64) as usize]
-    }
-}
-
 /// A sequence of processes that are killed one after the other, and the outcomes that their clients saw.
 struct Restarts {
     random: Random,
--- a/node/tests/sockets/soak.rs
+++ b/node/tests/sockets/soak.rs
@@ -26,17 +26,6 @@
 /// Number of the latest keys that are used again.
 const RECENT_KEYS: u64 = 20;
 
-/// A seeded pseudo-random number generator.
-struct Random(u64);
-
-impl Random {
-    /// A number from 0 to under `limit`.
-    fn below(&mut self, limit: u64) -> u64 {
-        self.0 = self.0.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-        (self.0 >> 33) % limit
-    }
-}
-
 /// The number of runs of each key, at all interpreters of the node.
 type RunCounts = Arc<Mutex<HashMap<String, u32>>>;
 
@@ -121,7 +110,7 @@
         let age = if is_new { 0 } else { self.random.below(RECENT_KEYS) };
         let key = format!("key-{}", self.last_key.saturating_sub(age));
         let over_jsonrpc = self.random.below(2) == 0;
-        let limit_ms = [100, 400, 5_000, LONG_LIMIT_MS][self.random.below(4) as usize];
+        let limit_ms = self.random.pick(&[100, 400, 5_000, LONG_LIMIT_MS]);
         let has_run = self.run_count(&key) > 0;
         let mut client = self.send(over_jsonrpc, &key, txn, limit_ms);
         if self.random.below(8) == 0 {
